Add the load client, which plays callers and the fabric

Cause: without callers whose every packet may reach any balancer, nothing of the path can be observed.

Change: load opens HTTP/3 connections whose datagrams go to a balancer picked at random among those that report ready, keeps feeds open and resumes them, resends reports with the same idempotency key, and compares its outcomes with the ledgers of the backend servers. Subcommands load, backend and version.

--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -3,26 +3,71 @@
 // # Usage
 //
 //	os.Exit(cmd.Main(os.Args))
+//
+// A subcommand returns 0 when it succeeded, 1 when it failed, 2 when its
+// arguments are wrong, 3 when a check it made did not pass (an invalid
+// document, a run that broke a promise), and 4 when it lost a race or its
+// request was refused.
 package cmd
 
 import (
 	"context"
 	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 )
 
+// The exit statuses, which scripts can rely on.
+const (
+	exitOK      = subcommands.ExitSuccess
+	exitFailure = subcommands.ExitFailure
+	exitUsage   = subcommands.ExitUsageError
+	exitCheck   = subcommands.ExitStatus(3)
+	exitRefused = subcommands.ExitStatus(4)
+)
+
+// The groups of the help page.
+const (
+	groupPrograms = "programs"
+	groupTests    = "tests and measurements"
+	groupHelp     = "help"
+)
+
 // Main runs the subcommand that the arguments name and returns the exit status.
 func Main(arguments []string) int {
-	flags := flag.NewFlagSet(arguments[0], flag.ExitOnError)
+	flags := flag.NewFlagSet("jayspindle", flag.ContinueOnError)
 	commander := subcommands.NewCommander(flags, "jayspindle")
 
-	commander.Register(commander.HelpCommand(), "help")
-	commander.Register(commander.CommandsCommand(), "help")
+	commander.Register(commander.HelpCommand(), groupHelp)
+	commander.Register(commander.FlagsCommand(), groupHelp)
+	commander.Register(&versionCommand{}, groupHelp)
+	commander.Register(&backendCommand{}, groupTests)
+	commander.Register(&loadCommand{}, groupTests)
 
 	if err := flags.Parse(arguments[1:]); err != nil {
-		return int(subcommands.ExitUsageError)
+		return int(exitUsage)
 	}
 
-	return int(commander.Execute(context.Background()))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+
+	return int(commander.Execute(ctx))
+}
+
+// fail prints an error and returns the exit status for failures.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "jayspindle: %v\n", err)
+
+	return exitFailure
+}
+
+// usage prints what is wrong with the arguments.
+func usage(format string, arguments ...any) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "jayspindle: "+format+"\n", arguments...)
+
+	return exitUsage
 }
--- a/internal/program/backend/ledger.go
+++ b/internal/program/backend/ledger.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return newError("count runs", KindFile, err)
 	}
-	defer file.Close()
+	defer file.Close() //nolint:errcheck // the file was only read
 
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
--- /dev/null
+++ b/internal/program/load/caller.go
@@ -0,0 +1,277 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	keepAlive   = 2 * time.Second
+	idleTimeout = 10 * time.Second
+	// retryPause is the shortest pause before a caller sends a request again.
+	retryPause = 50 * time.Millisecond
+)
+
+// caller is one simulated caller with its own socket. Its requests and its
+// feed share a connection, as a driver's link does.
+type caller struct {
+	client    *Client
+	workload  Workload
+	service   *net.UDPAddr
+	transport *http3.Transport
+	mutex     sync.Mutex // guards random
+	random    *rand.Rand
+	flows     conc.WaitGroup
+	stopping  context.Context
+}
+
+func newCaller(client *Client, workload Workload, random *rand.Rand) *caller {
+	c := &caller{
+		client:   client,
+		workload: workload,
+		service:  &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(workload.Port)},
+		random:   random,
+	}
+
+	c.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: client.roots, ServerName: workload.Service, MinVersion: tls.VersionTLS13},
+		QUICConfig: &quic.Config{
+			KeepAlivePeriod:         keepAlive,
+			MaxIdleTimeout:          idleTimeout,
+			DisablePathMTUDiscovery: true,
+		},
+		Dial: c.dial,
+	}
+
+	return c
+}
+
+func (c *caller) draw() float64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.random.Float64()
+}
+
+func (c *caller) drawSeed() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.random.Uint64()
+}
+
+// dial opens a flow and watches how it ends.
+func (c *caller) dial(ctx context.Context, _ string, config *tls.Config, quicConfig *quic.Config) (*quic.Conn, error) {
+	spray, err := newSprayConn(c.client.fabric, c.service, c.workload.Port, c.drawSeed())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	transport := &quic.Transport{Conn: packetConn{spray}}
+
+	connection, err := transport.Dial(ctx, c.service, config, quicConfig)
+	if err != nil {
+		if closeErr := spray.Close(); closeErr != nil {
+			c.client.logger.Debug("caller socket not closed", "error", closeErr)
+		}
+
+		return nil, newError("dial service", KindNetwork, err)
+	}
+
+	c.client.result.add(&c.client.result.Flows)
+	c.flows.Go(func() { c.watch(connection, transport, spray) })
+
+	return connection, nil
+}
+
+// watch counts a flow as broken unless it was closed on purpose.
+func (c *caller) watch(connection *quic.Conn, transport *quic.Transport, spray *sprayConn) {
+	<-connection.Context().Done()
+
+	var closed *quic.ApplicationError
+
+	cause := context.Cause(connection.Context())
+	intended := errors.As(cause, &closed) &&
+		(closed.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError) || !closed.Remote)
+
+	if !intended && c.stopping.Err() == nil {
+		c.client.result.add(&c.client.result.BrokenFlows)
+		c.client.logger.Warn("flow broken", "workload", c.workload.Name, "cause", cause)
+	}
+
+	if err := transport.Close(); err != nil {
+		c.client.logger.Debug("transport not closed", "error", err)
+	}
+
+	if err := spray.Close(); err != nil {
+		c.client.logger.Debug("caller socket not closed", "error", err)
+	}
+}
+
+// run sends the requests of the workload until the context ends. Requests in
+// progress then end on their own.
+func (c *caller) run(ctx context.Context) error {
+	c.stopping = ctx
+
+	var group conc.WaitGroup
+
+	if c.workload.Feed != "" {
+		group.Go(func() { newFeed(c).run(ctx) })
+	}
+
+	for _, request := range c.workload.Requests {
+		group.Go(func() { c.repeat(ctx, request) })
+	}
+
+	group.Wait()
+
+	err := c.transport.Close()
+
+	c.flows.Wait()
+
+	return errors.Trace(err)
+}
+
+// repeat sends requests with exponentially distributed pauses.
+func (c *caller) repeat(ctx context.Context, request Request) {
+	for number := 0; ; number++ {
+		pause := time.Duration(c.exponential() * float64(request.Interval))
+		if !sleep(ctx, pause) {
+			return
+		}
+
+		c.send(request, number)
+	}
+}
+
+func (c *caller) exponential() float64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.random.ExpFloat64()
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends one request with up to the configured number of attempts, all
+// with the same idempotency key.
+func (c *caller) send(request Request, number int) {
+	echo := fmt.Sprintf("%016x-%d", c.drawSeed(), number)
+
+	key := ""
+	if !request.Idempotent {
+		key = echo
+	}
+
+	ctx, span := c.client.tracer.Start(context.Background(), "caller.request", trace.WithAttributes(
+		attribute.String("class", request.Class), attribute.String("service", c.workload.Service),
+		attribute.String("request", echo)))
+	defer span.End()
+
+	started := time.Now()
+	attempt := attemptResult{outcome: failed}
+	resent := 0
+
+	for tries := range request.Attempts {
+		if tries > 0 {
+			resent++
+
+			time.Sleep(retryPause + time.Duration(c.draw()*float64(retryPause)))
+		}
+
+		attempt = c.attempt(ctx, request, key, echo)
+		if !attempt.again {
+			break
+		}
+	}
+
+	span.SetAttributes(attribute.Int("attempts", resent+1), attribute.Int("outcome", int(attempt.outcome)))
+	c.client.result.record(request, key, attempt, resent, time.Since(started))
+}
+
+// attemptResult is what one attempt of a request came to.
+type attemptResult struct {
+	outcome       outcome
+	again         bool // sending the request again may help
+	backendServer string
+	mismatched    bool
+}
+
+func (c *caller) attempt(ctx context.Context, request Request, key, echo string) attemptResult {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
+	defer cancel()
+
+	url := fmt.Sprintf("https://%s:%d%s", c.workload.Service, c.workload.Port, request.Path)
+
+	message, err := http.NewRequestWithContext(ctx, request.Method, url, bytes.NewReader(make([]byte, request.BodySize)))
+	if err != nil {
+		return attemptResult{outcome: failed}
+	}
+
+	message.Header.Set("Request-Echo", echo)
+	message.Header.Set("Jayspindle-Timeout", request.Timeout.String())
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(message.Header))
+
+	if key != "" {
+		message.Header.Set("Idempotency-Key", key)
+	}
+
+	response, err := c.transport.RoundTrip(message)
+	if err != nil {
+		// Whether the request ran is not known to the caller, so only the same
+		// idempotency key makes another attempt safe.
+		return attemptResult{outcome: failed, again: true}
+	}
+	defer response.Body.Close()
+
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return attemptResult{outcome: failed, again: true}
+	}
+
+	return classify(response, echo)
+}
+
+func classify(response *http.Response, echo string) attemptResult {
+	switch outcome := response.Header.Get("Jayspindle-Outcome"); {
+	case outcome == "not-run":
+		return attemptResult{outcome: notRun, again: true}
+	case outcome == "unknown":
+		return attemptResult{outcome: unknown}
+	case response.StatusCode == http.StatusConflict:
+		return attemptResult{outcome: unknown, again: true}
+	case response.StatusCode != http.StatusOK:
+		return attemptResult{outcome: failed}
+	}
+
+	return attemptResult{
+		outcome:       answered,
+		backendServer: response.Header.Get("Backend-Server"),
+		mismatched:    response.Header.Get("Request-Echo") != echo,
+	}
+}
--- /dev/null
+++ b/internal/program/load/feed.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// drainingComment is the server-sent comment by which an agent announces that
+// it will stop. Plain readers ignore comments and resume once the feed ends.
+const drainingComment = ": draining"
+
+// feed reads server-sent events and resumes from the last event ID. When the
+// agent announces that it drains, the next feed is opened before this one is
+// closed.
+type feed struct {
+	caller *caller
+	last   int64 // newest event ID, 0 before the first
+}
+
+func newFeed(c *caller) *feed {
+	return &feed{caller: c}
+}
+
+func (f *feed) run(ctx context.Context) {
+	var current io.ReadCloser
+
+	for ctx.Err() == nil {
+		if current == nil {
+			current = f.open(ctx)
+		}
+
+		if current == nil {
+			sleep(ctx, retryPause)
+
+			continue
+		}
+
+		current = f.read(ctx, current)
+	}
+
+	if current != nil {
+		_ = current.Close()
+	}
+}
+
+// open starts a feed after the last event. It returns nil if that fails.
+func (f *feed) open(ctx context.Context) io.ReadCloser {
+	c := f.caller
+	url := fmt.Sprintf("https://%s:%d%s", c.workload.Service, c.workload.Port, c.workload.Feed)
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil
+	}
+
+	request.Header.Set("Accept", "text/event-stream")
+
+	if f.last != 0 {
+		request.Header.Set("Last-Event-ID", strconv.FormatInt(f.last, 10))
+	}
+
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil
+	}
+
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+
+		return nil
+	}
+
+	return response.Body
+}
+
+// read reads events until the feed ends or the agent drains. It returns the
+// feed to read next, or nil if there is none yet.
+func (f *feed) read(ctx context.Context, body io.ReadCloser) io.ReadCloser {
+	defer body.Close()
+
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		text := lines.Text()
+
+		switch {
+		case strings.HasPrefix(text, "id: "):
+			f.event(text[len("id: "):])
+		case text == drainingComment:
+			if next := f.move(ctx); next != nil {
+				return next
+			}
+		}
+	}
+
+	return nil
+}
+
+// move opens the next feed on a new flow. The agent refuses new requests on
+// the old one, which makes the transport dial again.
+func (f *feed) move(ctx context.Context) io.ReadCloser {
+	const patience = 5 * time.Second
+
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, retryPause) {
+		if next := f.open(ctx); next != nil {
+			f.caller.client.result.add(&f.caller.client.result.FeedMoves)
+
+			return next
+		}
+	}
+
+	return nil
+}
+
+// event counts an event and checks that it follows the one before.
+func (f *feed) event(text string) {
+	id, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return
+	}
+
+	result := f.caller.client.result
+	result.add(&result.FeedEvents)
+
+	switch {
+	case f.last == 0 || id == f.last+1:
+	case id <= f.last:
+		result.add(&result.FeedDuplicates)
+	default:
+		result.add(&result.FeedGaps)
+	}
+
+	f.last = max(f.last, id)
+}
--- /dev/null
+++ b/internal/program/load/result.go
@@ -0,0 +1,238 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longestLatency     = int64(time.Minute / time.Microsecond)
+	significantFigures = 3
+)
+
+// outcome is how a request ended for the caller.
+type outcome uint8
+
+const (
+	answered outcome = iota
+	notRun
+	unknown
+	failed
+)
+
+// ClassResult counts the requests of one class.
+type ClassResult struct {
+	Class      string  `json:"class"`
+	Requests   int64   `json:"requests"`
+	Answered   int64   `json:"answered"`
+	Late       int64   `json:"late"` // answered after the deadline
+	NotRun     int64   `json:"not_run"`
+	Unknown    int64   `json:"unknown"`
+	Failed     int64   `json:"failed"`
+	Resent     int64   `json:"resent"`
+	Mismatched int64   `json:"mismatched"` // answers to another request
+	P50        float64 `json:"p50_ms"`
+	P99        float64 `json:"p99_ms"`
+	Max        float64 `json:"max_ms"`
+
+	latencies *hdrhistogram.Histogram
+}
+
+// Result is what a run of the load client saw.
+type Result struct {
+	Classes        []*ClassResult   `json:"classes"`
+	Flows          int64            `json:"flows"`
+	BrokenFlows    int64            `json:"broken_flows"`
+	FeedEvents     int64            `json:"feed_events"`
+	FeedGaps       int64            `json:"feed_gaps"`
+	FeedDuplicates int64            `json:"feed_duplicates"`
+	FeedMoves      int64            `json:"feed_moves"`
+	Imbalance      float64          `json:"imbalance"` // busiest backend server over the mean
+	BackendServers map[string]int64 `json:"backend_servers"`
+	RunTwice       int64            `json:"run_twice"`
+	Lost           int64            `json:"lost"`     // answered, but in no ledger
+	Phantom        int64            `json:"phantom"`  // refused with "not run", but in a ledger
+	Recorded       int64            `json:"recorded"` // keys in the ledgers
+
+	mutex    sync.Mutex // guards everything above
+	classes  map[string]*ClassResult
+	outcomes map[string]outcome // by idempotency key
+}
+
+func newResult() *Result {
+	return &Result{
+		BackendServers: make(map[string]int64),
+		classes:        make(map[string]*ClassResult),
+		outcomes:       make(map[string]outcome),
+	}
+}
+
+func (r *Result) class(name string) *ClassResult {
+	class, ok := r.classes[name]
+	if !ok {
+		class = &ClassResult{Class: name, latencies: hdrhistogram.New(1, longestLatency, significantFigures)}
+		r.classes[name] = class
+	}
+
+	return class
+}
+
+// record counts one request after its last attempt.
+func (r *Result) record(request Request, key string, attempt attemptResult, resent int, took time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	class := r.class(request.Class)
+	class.Requests++
+	class.Resent += int64(resent)
+
+	if key != "" {
+		r.outcomes[key] = attempt.outcome
+	}
+
+	switch attempt.outcome {
+	case answered:
+		r.recordAnswer(class, request, attempt, took)
+	case notRun:
+		class.NotRun++
+	case unknown:
+		class.Unknown++
+	case failed:
+		class.Failed++
+	}
+}
+
+func (r *Result) recordAnswer(class *ClassResult, request Request, attempt attemptResult, took time.Duration) {
+	class.Answered++
+	r.BackendServers[request.Class+" "+attempt.backendServer]++
+
+	if took > request.Deadline {
+		class.Late++
+	}
+
+	if attempt.mismatched {
+		class.Mismatched++
+	}
+
+	// RecordValue fails only above the longest latency, which is then what counts.
+	if class.latencies.RecordValue(took.Microseconds()) != nil {
+		_ = class.latencies.RecordValue(longestLatency)
+	}
+}
+
+// add changes a counter of the result.
+func (r *Result) add(counter *int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	*counter++
+}
+
+// finish computes quantiles, imbalance and the comparison with the ledgers.
+func (r *Result) finish(runs map[string]int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	for _, name := range slices.Sorted(maps.Keys(r.classes)) {
+		class := r.classes[name]
+		class.P50 = milliseconds(class.latencies.ValueAtQuantile(50))
+		class.P99 = milliseconds(class.latencies.ValueAtQuantile(99))
+		class.Max = milliseconds(class.latencies.Max())
+		r.Classes = append(r.Classes, class)
+		r.Imbalance = max(r.Imbalance, r.imbalance(name))
+	}
+
+	r.Recorded = int64(len(runs))
+
+	for key, outcome := range r.outcomes {
+		switch count := runs[key]; {
+		case count > 1:
+			r.RunTwice++
+		case count == 0 && outcome == answered:
+			r.Lost++
+		case count == 1 && outcome == notRun:
+			r.Phantom++
+		}
+	}
+}
+
+// imbalance returns the busiest backend server over the mean, for the requests
+// of one class. Backend servers without any request are not known here.
+func (r *Result) imbalance(class string) float64 {
+	var total, busiest, count int64
+
+	for name, requests := range r.BackendServers {
+		if len(name) > len(class) && name[:len(class)+1] == class+" " {
+			total += requests
+			busiest = max(busiest, requests)
+			count++
+		}
+	}
+
+	if total == 0 {
+		return 0
+	}
+
+	return float64(busiest) * float64(count) / float64(total)
+}
+
+func milliseconds(microseconds int64) float64 {
+	return float64(microseconds) / float64(time.Millisecond/time.Microsecond)
+}
+
+// Kept reports whether no flow broke, no feed lost or repeated an event, and
+// no request ran twice, was lost, or ran after it was refused with "not run".
+func (r *Result) Kept() bool {
+	broken := r.BrokenFlows + r.FeedGaps + r.FeedDuplicates + r.RunTwice + r.Lost + r.Phantom
+	for _, class := range r.Classes {
+		broken += class.Mismatched + class.Failed
+	}
+
+	return broken == 0
+}
+
+// WriteJSON writes the result as JSON.
+func (r *Result) WriteJSON(writer io.Writer) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+
+	if err := encoder.Encode(r); err != nil {
+		return newError("write result", KindFile, err)
+	}
+
+	return nil
+}
+
+// WriteTable writes the result as tables.
+func (r *Result) WriteTable(writer io.Writer) error {
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', tabwriter.AlignRight)
+
+	fmt.Fprintln(table, "class\trequests\tanswered\tlate\tnot run\tunknown\tfailed\tresent\tp50 ms\tp99 ms\tmax ms\t")
+
+	for _, class := range r.Classes {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n",
+			class.Class, class.Requests, class.Answered, class.Late, class.NotRun, class.Unknown, class.Failed,
+			class.Resent, class.P50, class.P99, class.Max)
+	}
+
+	fmt.Fprintln(table)
+	fmt.Fprintln(table,
+		"flows\tbroken\tfeed events\tgaps\tduplicates\tmoves\trun twice\tlost\tran after refusal\timbalance\t")
+	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n",
+		r.Flows, r.BrokenFlows, r.FeedEvents, r.FeedGaps, r.FeedDuplicates, r.FeedMoves,
+		r.RunTwice, r.Lost, r.Phantom, r.Imbalance)
+
+	if err := table.Flush(); err != nil {
+		return newError("write result", KindFile, err)
+	}
+
+	return nil
+}
