Draft the agent and the balancer programs

Cause: the path from caller to backend server needs both processes.

Change: the agent ends QUIC sessions behind a packet connection whose datagrams come from balancers, admits requests, places them on siblings, claims non-idempotent ones and keeps feeds open across backend servers. The balancer listens for every service of its view and relays views and renewals.

--- /dev/null
+++ b/internal/program/agent/claims.go
@@ -0,0 +1,297 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"jayspindle/internal/coordination/claim"
+	"jayspindle/internal/coordination/rollout"
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/transport/link"
+)
+
+const (
+	// retention is how long a claim and its stored answer are kept.
+	retention = 10 * time.Minute
+	// maxUnconfirmed is how long an agent claims on a view that no leader has
+	// confirmed. The history of memberships covers that much more.
+	maxUnconfirmed = rollout.ConfirmationLimit + 25*time.Second
+	// defaultCapacity bounds the claims of one agent: 100 a second for the
+	// retention, at most 250 MB if every answer has the largest size.
+	defaultCapacity = 60_000
+	claimCall       = 500 * time.Millisecond
+	expireInterval  = time.Second
+)
+
+// claims runs non-idempotent requests at most once. One goroutine owns the
+// store, the history of memberships and the claimants.
+type claims struct {
+	agent    *Agent
+	logger   *slog.Logger
+	events   chan func(now time.Time)
+	capacity int
+
+	// Owned by the goroutine of run.
+	store    *claim.Store
+	history  *claim.History
+	agents   map[view.Incarnation]view.Agent
+	active   map[uint64]*activeClaim // by sequence of the execution
+	sequence uint64
+	incoming map[view.Incarnation][]byte // transfers by seat, as far as received
+}
+
+// activeClaim is a claimant and the request that waits for its decision.
+type activeClaim struct {
+	claimant *claim.Claimant
+	decided  chan claim.Decision // buffered; closed after the decision
+	settled  chan struct{}       // closed when the holders know the outcome
+}
+
+func newClaims(agent *Agent) *claims {
+	capacity := agent.config.ClaimsAtMost
+	if capacity == 0 {
+		capacity = defaultCapacity
+	}
+
+	return &claims{
+		agent:    agent,
+		logger:   agent.logger,
+		events:   make(chan func(now time.Time), 64),
+		capacity: capacity,
+		history:  claim.NewHistory(time.Now(), retention, maxUnconfirmed),
+		agents:   make(map[view.Incarnation]view.Agent),
+		active:   make(map[uint64]*activeClaim),
+		incoming: make(map[view.Incarnation][]byte),
+	}
+}
+
+// run owns the state until the context ends.
+func (c *claims) run(ctx context.Context) {
+	timer := time.NewTimer(expireInterval)
+	defer timer.Stop()
+
+	expiry := time.NewTicker(expireInterval)
+	defer expiry.Stop()
+
+	for {
+		select {
+		case event := <-c.events:
+			event(time.Now())
+		case <-expiry.C:
+			c.housekeep(ctx, time.Now())
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+
+		timer.Reset(c.advance(ctx, time.Now()))
+	}
+}
+
+// do runs an event on the goroutine that owns the state and waits for it.
+func (c *claims) do(ctx context.Context, event func(now time.Time)) bool {
+	done := make(chan struct{})
+
+	select {
+	case c.events <- func(now time.Time) { event(now); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// post runs an event later, without waiting for it.
+func (c *claims) post(ctx context.Context, event func(now time.Time)) {
+	select {
+	case c.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// update applies the agents of the service from a view.
+func (c *claims) update(position view.Position, agents []view.Agent) {
+	c.post(context.Background(), func(now time.Time) {
+		c.ensureStore()
+		c.history.Observe(now, position, agents)
+		clear(c.agents)
+
+		for _, agent := range agents {
+			c.agents[agent.Incarnation] = agent
+		}
+	})
+}
+
+// ensureStore creates the store once the incarnation is known.
+func (c *claims) ensureStore() {
+	if own := c.agent.member.Incarnation(); c.store == nil && own != 0 {
+		c.store = claim.NewStore(own, retention, c.capacity)
+	}
+}
+
+// housekeep drops expired claims and completes the history of an agent that
+// has started recently.
+func (c *claims) housekeep(ctx context.Context, now time.Time) {
+	c.ensureStore()
+
+	if c.agent.member.Confirmed(now) {
+		c.history.Confirm(now)
+	}
+
+	if c.store == nil {
+		return
+	}
+
+	c.store.Expire(now)
+
+	if !c.history.Complete(now) {
+		c.askPast(ctx)
+	}
+}
+
+// advance moves all claimants on and returns when to do so again.
+func (c *claims) advance(ctx context.Context, now time.Time) time.Duration {
+	next := now.Add(expireInterval)
+
+	for sequence, active := range c.active {
+		claimant := active.claimant
+		claimant.Tick(now)
+
+		for _, message := range claimant.Messages(now) {
+			c.send(ctx, now, message)
+		}
+
+		if claimant.Decision().Verdict != claim.Pending && active.decided != nil {
+			active.decided <- claimant.Decision()
+			close(active.decided)
+			active.decided = nil
+		}
+
+		if claimant.Done(now) {
+			close(active.settled)
+			delete(c.active, sequence)
+
+			continue
+		}
+
+		if wake := claimant.Wake(); wake.Before(next) {
+			next = wake
+		}
+	}
+
+	return max(time.Millisecond, next.Sub(now))
+}
+
+// send sends a message to a holder. The reply comes back as an event.
+func (c *claims) send(ctx context.Context, now time.Time, message claim.Message) {
+	if message.To == c.agent.member.Incarnation() {
+		c.reply(now, c.store.Handle(now, message.Request))
+
+		return
+	}
+
+	holder, ok := c.agents[message.To]
+	if !ok {
+		return
+	}
+
+	client := c.agent.siblings.client(holder)
+
+	c.agent.background.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, claimCall)
+		defer cancel()
+
+		var reply claim.Reply
+		if err := client.Call(limited, methodClaim, &message.Request, &reply); err != nil {
+			c.logger.Debug("holder did not answer", "holder", message.To, "error", err)
+
+			return
+		}
+
+		c.post(ctx, func(now time.Time) { c.reply(now, reply) })
+	})
+}
+
+func (c *claims) reply(now time.Time, reply claim.Reply) {
+	if active, ok := c.active[reply.Execution.Sequence]; ok {
+		active.claimant.Reply(now, reply)
+	}
+}
+
+// begin claims a key and waits for the decision.
+func (c *claims) begin(ctx context.Context, token string) (*activeClaim, claim.Decision) {
+	var (
+		active  *activeClaim
+		decided chan claim.Decision
+	)
+
+	began := c.do(ctx, func(now time.Time) {
+		if c.store == nil {
+			return
+		}
+
+		c.sequence++
+		decided = make(chan claim.Decision, 1)
+		execution := claim.Execution{Agent: c.agent.member.Incarnation(), Sequence: c.sequence}
+		key := claim.Key{Service: c.agent.serviceID(), Token: token}
+		active = &activeClaim{
+			claimant: claim.Begin(now, key, execution, c.history),
+			decided:  decided,
+			settled:  make(chan struct{}),
+		}
+		c.active[c.sequence] = active
+	})
+	if !began || active == nil {
+		return nil, claim.Decision{Verdict: claim.Unknown, Reason: "the agent is starting or stopping"}
+	}
+
+	// The claim decides within claim.ClaimTimeout, so this wait is bounded.
+	return active, <-decided
+}
+
+// register adds the methods that siblings call.
+func (c *claims) register(server *link.Server) {
+	server.Handle(methodClaim, c.handleClaim)
+	server.Handle(methodPast, c.handlePast)
+	server.Handle(methodTransfer, c.handleTransfer)
+}
+
+func (c *claims) checkPeer(ctx context.Context) error {
+	if caller := link.Peer(ctx); caller.Service != c.agent.config.Service {
+		return link.Errorf(link.KindDenied, "%s may not claim for service %q", caller, c.agent.config.Service)
+	}
+
+	return nil
+}
+
+func (c *claims) handleClaim(ctx context.Context, request *link.Request) (any, error) {
+	if err := c.checkPeer(ctx); err != nil {
+		return nil, err
+	}
+
+	var message claim.Request
+	if err := request.Decode(&message); err != nil {
+		return nil, err
+	}
+
+	var reply *claim.Reply
+
+	c.do(ctx, func(now time.Time) {
+		if c.store != nil {
+			handled := c.store.Handle(now, message)
+			reply = &handled
+		}
+	})
+
+	if reply == nil {
+		return nil, link.Errorf(link.KindBusy, "the agent is starting or stopping")
+	}
+
+	return reply, nil
+}
--- /dev/null
+++ b/internal/program/agent/gate.go
@@ -0,0 +1,163 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"jayspindle/internal/coordination/admission"
+)
+
+// gate guards the slots of the backend server. One goroutine owns the
+// scheduler; requests reach it through a channel of events.
+type gate struct {
+	events  chan func(now time.Time)
+	sched   *admission.Scheduler
+	waiting map[uint64]chan admission.Decision // by request ID
+	nextID  uint64
+}
+
+// pass is the permission to hand one request over. It must be closed.
+type pass struct {
+	gate *gate
+	id   uint64
+}
+
+func newGate(policy admission.Policy) *gate {
+	return &gate{
+		events:  make(chan func(now time.Time)),
+		sched:   admission.New(policy),
+		waiting: make(map[uint64]chan admission.Decision),
+	}
+}
+
+// run owns the scheduler until the context ends.
+func (g *gate) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+
+	for {
+		select {
+		case event := <-g.events:
+			event(time.Now())
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+
+		now := time.Now()
+		g.settle(g.sched.Next(now))
+
+		if wake, ok := g.sched.Wake(); ok {
+			timer.Reset(max(0, wake.Sub(now)))
+		}
+	}
+}
+
+// do runs an event on the goroutine that owns the scheduler and waits for it.
+// It reports false if that goroutine has ended.
+func (g *gate) do(ctx context.Context, event func(now time.Time)) bool {
+	done := make(chan struct{})
+
+	select {
+	case g.events <- func(now time.Time) { event(now); close(done) }:
+		<-done
+
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// settle hands decisions to the requests that wait for them.
+func (g *gate) settle(decisions []admission.Decision) {
+	for _, decision := range decisions {
+		if waiter, ok := g.waiting[decision.ID]; ok {
+			delete(g.waiting, decision.ID)
+			waiter <- decision
+		}
+	}
+}
+
+// enter waits for a slot, or for a connection if the class is a feed. Without
+// a pass the reason says why the request was not run.
+func (g *gate) enter(ctx context.Context, class string, deadline time.Time) (*pass, admission.Reason) {
+	var (
+		id       uint64
+		decision admission.Decision
+		waiter   = make(chan admission.Decision, 1)
+	)
+
+	offered := g.do(ctx, func(now time.Time) {
+		g.nextID++
+		id = g.nextID
+		decision = g.sched.Offer(now, admission.Request{ID: id, Class: class, Deadline: deadline})
+
+		if decision.Action == admission.Wait {
+			g.waiting[id] = waiter
+		}
+	})
+	if !offered {
+		return nil, admission.ReasonCancelled
+	}
+
+	if decision.Action == admission.Wait {
+		decision = g.await(ctx, id, waiter)
+	}
+
+	if decision.Action != admission.Run {
+		return nil, decision.Reason
+	}
+
+	return &pass{gate: g, id: id}, admission.ReasonNone
+}
+
+// await returns the decision for a queued request. A caller that gives up
+// takes its request out of the queue.
+func (g *gate) await(ctx context.Context, id uint64, waiter chan admission.Decision) admission.Decision {
+	select {
+	case decision := <-waiter:
+		return decision
+	case <-ctx.Done():
+	}
+
+	cancelled := admission.Decision{ID: id, Action: admission.Refuse, Reason: admission.ReasonCancelled}
+
+	g.do(context.WithoutCancel(ctx), func(now time.Time) {
+		delete(g.waiting, id)
+
+		if g.sched.Cancel(now, id).Action == admission.Abort {
+			// The slot was granted in the same moment and is given back unused.
+			g.sched.Finish(now, id, admission.Abandoned)
+		}
+	})
+
+	return cancelled
+}
+
+// close frees the slot.
+func (p *pass) close(outcome admission.Outcome) {
+	p.gate.do(context.Background(), func(now time.Time) { p.gate.sched.Finish(now, p.id, outcome) })
+}
+
+// drain stops new work and refuses what waits.
+func (g *gate) drain(ctx context.Context) {
+	g.do(ctx, func(now time.Time) { g.settle(g.sched.Drain(now)) })
+}
+
+// reconfigure applies the classes and limits of a changed document.
+func (g *gate) reconfigure(ctx context.Context, policy admission.Policy) {
+	g.do(ctx, func(now time.Time) { g.settle(g.sched.Reconfigure(now, policy)) })
+}
+
+// occupancy is what runs and waits at the backend server.
+type occupancy struct{ running, feeds, waiting int }
+
+func (g *gate) occupancy(ctx context.Context) occupancy {
+	var current occupancy
+
+	g.do(ctx, func(time.Time) {
+		current = occupancy{running: g.sched.Running(), feeds: g.sched.Feeds(), waiting: g.sched.Waiting()}
+	})
+
+	return current
+}
--- /dev/null
+++ b/internal/program/agent/local.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"jayspindle/internal/coordination/admission"
+	"jayspindle/internal/protocol/peer"
+)
+
+// result is what became of a call. The body of an answer must be closed.
+type result struct {
+	state  peer.State
+	reason string
+	status int
+	header http.Header
+	body   io.ReadCloser
+}
+
+func notRun(reason string) *result { return &result{state: peer.NotRun, reason: reason} }
+
+func unknown(reason string) *result { return &result{state: peer.Unknown, reason: reason} }
+
+// runner runs a call somewhere.
+type runner interface {
+	run(ctx context.Context, c *call) *result
+}
+
+// local runs calls on the agent's own backend server.
+type local struct {
+	gate    *gate
+	backend *backendServer
+}
+
+// run waits for a slot and hands the call over. The slot is held until the
+// body of the answer is closed.
+func (l *local) run(ctx context.Context, c *call) *result {
+	if !l.backend.healthy.Load() {
+		return notRun("backend server unhealthy")
+	}
+
+	// A feed has a deadline for its first byte only.
+	waiting, cancel := context.WithDeadline(ctx, c.startLimit())
+	defer cancel()
+
+	granted, reason := l.gate.enter(waiting, c.class.Name, c.deadline)
+	if granted == nil {
+		return notRun(string(reason))
+	}
+
+	handing, stop := l.handOverContext(ctx, c)
+
+	response, ran, err := l.backend.send(handing, c)
+	if err != nil {
+		stop()
+		granted.close(admission.Abandoned)
+
+		if !ran {
+			return notRun(err.Error())
+		}
+
+		return unknown(err.Error())
+	}
+
+	return &result{
+		state:  peer.Answered,
+		status: response.StatusCode,
+		header: endToEnd(response.Header),
+		body:   &slotBody{ReadCloser: response.Body, granted: granted, stop: stop},
+	}
+}
+
+// handOverContext carries the deadline and the caller's cancellation to the
+// backend server. A feed has no deadline once it has started.
+func (*local) handOverContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+	if c.class.Feed {
+		return context.WithCancel(ctx)
+	}
+
+	return context.WithDeadline(ctx, c.deadline)
+}
+
+// slotBody frees the slot when the body is closed.
+type slotBody struct {
+	io.ReadCloser
+	granted *pass
+	stop    context.CancelFunc
+	ended   bool // the whole body was read
+	once    sync.Once
+}
+
+// Read reads the body and notes its end.
+func (b *slotBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err == io.EOF {
+		b.ended = true
+	}
+
+	return n, err
+}
+
+// Close frees the slot once.
+func (b *slotBody) Close() error {
+	err := b.ReadCloser.Close()
+
+	b.once.Do(func() {
+		b.stop()
+
+		outcome := admission.Abandoned
+		if b.ended {
+			outcome = admission.Completed
+		}
+
+		b.granted.close(outcome)
+	})
+
+	return err
+}
--- /dev/null
+++ b/internal/program/agent/packetconn.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"expvar"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/protocol/datagram"
+	"jayspindle/internal/state/view"
+)
+
+const (
+	maxDatagram  = 2048
+	socketBuffer = 4 << 20 // bytes
+)
+
+// packetConn is the packet connection of quic-go's transport. Datagrams come
+// from balancers with the caller's address in the header, and replies go back
+// through balancers.
+type packetConn struct {
+	*net.UDPConn
+	engine *forward.Agent
+	logger *slog.Logger
+}
+
+func newPacketConn(address netip.AddrPort, engine *forward.Agent, logger *slog.Logger) (*packetConn, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, newError("listen for balancers", KindSetup, err)
+	}
+
+	// The kernel may grant less, which costs datagrams only under bursts.
+	_ = socket.SetReadBuffer(socketBuffer)
+	_ = socket.SetWriteBuffer(socketBuffer)
+
+	return &packetConn{UDPConn: socket, engine: engine, logger: logger}, nil
+}
+
+// update applies keys and balancers of a view.
+func (c *packetConn) update(current *view.View) error { return errors.Trace(c.engine.Apply(current)) }
+
+// ReadFrom returns the payload of the next datagram for this incarnation and
+// the address of its caller.
+func (c *packetConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	var received [maxDatagram]byte
+
+	for {
+		n, from, err := c.ReadFromUDPAddrPort(received[:])
+		if err != nil {
+			return 0, nil, errors.Trace(err)
+		}
+
+		source := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+
+		switch decision := c.engine.Receive(time.Now(), received[:n], source); decision.Action {
+		case forward.Deliver:
+			payload := received[datagram.HeaderLength:n]
+
+			return copy(buffer, payload), net.UDPAddrFromAddrPort(decision.Header.Caller), nil
+		case forward.Answer:
+			c.answer(&decision.Header, decision.To)
+		default:
+		}
+	}
+}
+
+// answer sends a header without payload, for example a stale notice.
+func (c *packetConn) answer(header *datagram.Header, to netip.AddrPort) {
+	var notice [datagram.HeaderLength]byte
+
+	c.engine.Seal(notice[:], header)
+
+	if _, err := c.WriteToUDPAddrPort(notice[:], to); err != nil {
+		c.logger.Debug("notice not sent", "to", to.String(), "error", err)
+	}
+}
+
+// WriteTo sends a payload to a caller through a balancer. A datagram that
+// cannot be sent is lost like one on the network: QUIC sends its content again,
+// and the engine then selects another balancer.
+func (c *packetConn) WriteTo(payload []byte, caller net.Addr) (int, error) {
+	address, ok := caller.(*net.UDPAddr)
+	if !ok {
+		return 0, newError("reply", KindSetup, errors.Errorf("%v is not a UDP address", caller))
+	}
+
+	to := netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port())
+
+	header, balancer, ok := c.engine.Reply(time.Now(), to)
+	if !ok {
+		return len(payload), nil
+	}
+
+	var framed [maxDatagram]byte
+
+	c.engine.Seal(framed[:], &header)
+	n := copy(framed[datagram.HeaderLength:], payload)
+
+	if _, err := c.WriteToUDPAddrPort(framed[:datagram.HeaderLength+n], balancer); err != nil {
+		c.logger.Debug("reply not sent", "balancer", balancer.String(), "error", err)
+	}
+
+	return len(payload), nil
+}
+
+// publishCounters shows the decisions by reason under /debug/vars.
+func publishCounters(engine *forward.Agent) {
+	expvar.Publish("agent_datagrams", expvar.Func(func() any {
+		counts := engine.Counts()
+		byReason := make(map[string]uint64, len(counts))
+
+		for reason, count := range counts {
+			byReason[forward.Reason(reason).String()] = count
+		}
+
+		return byReason
+	}))
+}
+
+// quicConn narrows a packetConn to net.PacketConn, so that quic-go does not use
+// the methods of the embedded net.UDPConn.
+type quicConn struct{ net.PacketConn }
--- /dev/null
+++ b/internal/program/agent/sibling.go
@@ -0,0 +1,244 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"jayspindle/internal/protocol/peer"
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/transport/identity"
+	"jayspindle/internal/transport/link"
+)
+
+// siblings holds the links to the other agents of the service, one for each
+// incarnation that was needed so far.
+type siblings struct {
+	identity    *identity.Store
+	environment string
+	random      *rand.Rand // used under mutex
+	mutex       sync.Mutex
+	clients     map[view.Incarnation]*link.Client
+}
+
+func newSiblings(store *identity.Store, environment string, random *rand.Rand) *siblings {
+	return &siblings{
+		identity:    store,
+		environment: environment,
+		random:      random,
+		clients:     make(map[view.Incarnation]*link.Client),
+	}
+}
+
+// client returns the link to an agent.
+func (s *siblings) client(agent view.Agent) *link.Client {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	client, ok := s.clients[agent.Incarnation]
+	if !ok {
+		client = link.Dial(link.ClientOptions{
+			Addresses: []netip.AddrPort{agent.Peer},
+			Identity:  s.identity,
+			Accept:    identity.Policy{Roles: []identity.Role{identity.RoleAgent}, Environment: s.environment},
+			Random:    rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64())),
+		})
+		s.clients[agent.Incarnation] = client
+	}
+
+	return client
+}
+
+// retain closes the links to agents that left the view.
+func (s *siblings) retain(agents []view.Agent) {
+	present := make(map[view.Incarnation]bool, len(agents))
+	for _, agent := range agents {
+		present[agent.Incarnation] = true
+	}
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	for incarnation, client := range s.clients {
+		if !present[incarnation] {
+			client.Close()
+			delete(s.clients, incarnation)
+		}
+	}
+}
+
+// close closes all links.
+func (s *siblings) close() { s.retain(nil) }
+
+// remote runs calls on the backend server of a sibling.
+type remote struct{ client *link.Client }
+
+func (r *remote) run(ctx context.Context, c *call) *result {
+	ctx, cancel := context.WithCancel(ctx)
+
+	stream, err := r.client.Stream(ctx, peer.MethodRun, &peer.Run{
+		Class:   c.class.Name,
+		Method:  c.method,
+		Target:  c.target,
+		Header:  c.header,
+		Body:    c.body,
+		Timeout: time.Until(c.deadline),
+		Start:   time.Until(c.startLimit()),
+		Key:     c.key,
+	})
+	if err != nil {
+		cancel()
+
+		return linkFailure(err)
+	}
+
+	var first peer.Frame
+	if more, err := stream.Next(&first); err != nil || !more {
+		stream.Close()
+		cancel()
+
+		return linkFailure(err)
+	}
+
+	if first.State != peer.Answered {
+		stream.Close()
+		cancel()
+
+		return &result{state: first.State, reason: first.Reason}
+	}
+
+	return &result{
+		state:  peer.Answered,
+		status: first.Status,
+		header: first.Header,
+		body:   &streamBody{stream: stream, cancel: cancel},
+	}
+}
+
+// linkFailure tells failures that prove that the sibling did not get the
+// request from those that leave it open.
+func linkFailure(err error) *result {
+	if err == nil {
+		return unknown("the sibling ended the response early")
+	}
+
+	switch link.KindOf(err) {
+	case link.KindUnreachable, link.KindClosing, link.KindMethod, link.KindBusy, link.KindRedirect, link.KindDenied:
+		return notRun(err.Error())
+	default:
+		return unknown(err.Error())
+	}
+}
+
+// streamBody reads a body from the frames of a link.
+type streamBody struct {
+	stream *link.Stream
+	cancel context.CancelFunc
+	rest   []byte
+}
+
+// Read returns the next bytes of the body.
+func (b *streamBody) Read(buffer []byte) (int, error) {
+	for len(b.rest) == 0 {
+		var frame peer.Frame
+
+		more, err := b.stream.Next(&frame)
+		if err != nil {
+			return 0, newError("read response", KindSibling, err)
+		}
+
+		if !more {
+			return 0, io.EOF
+		}
+
+		b.rest = frame.Body
+	}
+
+	n := copy(buffer, b.rest)
+	b.rest = b.rest[n:]
+
+	return n, nil
+}
+
+// Close ends the stream; the sibling then cancels the request if it still runs.
+func (b *streamBody) Close() error {
+	b.cancel()
+	b.stream.Close()
+
+	return nil
+}
+
+// peerServer answers the links of siblings.
+type peerServer struct {
+	service string
+	local   *local
+	classes func(name string) (view.Class, bool)
+	logger  *slog.Logger
+}
+
+// run serves peer.MethodRun.
+func (p *peerServer) run(ctx context.Context, request *link.Request, send func(any) error) error {
+	if caller := link.Peer(ctx); caller.Service != p.service {
+		return link.Errorf(link.KindDenied, "%s may not run requests of service %q", caller, p.service)
+	}
+
+	var message peer.Run
+	if err := request.Decode(&message); err != nil {
+		return err
+	}
+
+	class, ok := p.classes(message.Class)
+	if !ok {
+		return send(&peer.Frame{State: peer.NotRun, Reason: "unknown class " + message.Class})
+	}
+
+	outcome := p.local.run(ctx, &call{
+		class:    class,
+		method:   message.Method,
+		target:   message.Target,
+		header:   message.Header,
+		body:     message.Body,
+		deadline: time.Now().Add(message.Timeout),
+		startBy:  time.Now().Add(message.Start),
+		key:      message.Key,
+	})
+
+	return forward(outcome, send)
+}
+
+// forward sends a result as frames.
+func forward(outcome *result, send func(any) error) error {
+	first := peer.Frame{State: outcome.state, Reason: outcome.reason, Status: outcome.status, Header: outcome.header}
+	if outcome.state != peer.Answered {
+		return send(&first)
+	}
+
+	defer outcome.body.Close()
+
+	if err := send(&first); err != nil {
+		return err
+	}
+
+	buffer := make([]byte, peer.MaxChunk)
+
+	for {
+		n, err := outcome.body.Read(buffer)
+		if n > 0 {
+			if err := send(&peer.Frame{Body: buffer[:n]}); err != nil {
+				return err
+			}
+		}
+
+		if err == io.EOF {
+			return nil
+		}
+
+		if err != nil {
+			return link.NewError(link.KindInternal, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/balancer/listeners.go
@@ -0,0 +1,115 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/transport/udp"
+)
+
+// listeners holds the sockets of all services. Only the goroutine that applies
+// views changes them; traffic goroutines read the published map.
+type listeners struct {
+	balancer  *Balancer
+	published atomic.Pointer[map[view.ServiceID]listener]
+	group     conc.WaitGroup
+}
+
+// listener is the sockets of one service.
+type listener struct {
+	address netip.AddrPort
+	sockets []*udp.Socket
+}
+
+func newListeners(balancer *Balancer) *listeners {
+	l := &listeners{balancer: balancer}
+	l.published.Store(&map[view.ServiceID]listener{})
+
+	return l
+}
+
+// socket returns the socket from which replies of a service are sent, nil if
+// the balancer does not listen for the service.
+func (l *listeners) socket(service view.ServiceID) *udp.Socket {
+	found, ok := (*l.published.Load())[service]
+	if !ok {
+		return nil
+	}
+
+	return found.sockets[0]
+}
+
+// update opens sockets for new services and closes those of removed ones. An
+// address that cannot be bound is logged and tried again with the next view.
+func (l *listeners) update(current *view.View) {
+	old := *l.published.Load()
+	next := make(map[view.ServiceID]listener, len(current.Services()))
+
+	for _, service := range current.Services() {
+		address := l.address(service)
+
+		if existing, ok := old[service.ID]; ok && existing.address == address {
+			next[service.ID] = existing
+
+			continue
+		}
+
+		if opened, ok := l.open(service, address); ok {
+			next[service.ID] = opened
+		}
+	}
+
+	l.published.Store(&next)
+
+	for id, existing := range old {
+		if kept, ok := next[id]; !ok || kept.address != existing.address {
+			l.stop(existing)
+		}
+	}
+}
+
+func (l *listeners) address(service view.Service) netip.AddrPort {
+	if host := l.balancer.config.ListenHost; host.IsValid() {
+		return netip.AddrPortFrom(host, service.Address.Port())
+	}
+
+	return service.Address
+}
+
+func (l *listeners) open(service view.Service, address netip.AddrPort) (listener, bool) {
+	sockets, err := udp.Listen(address, l.balancer.socketOptions())
+	if err != nil {
+		l.balancer.logger.Error("service address not bound", "service", service.Name, "address", address.String(),
+			"error", err)
+
+		return listener{}, false
+	}
+
+	for _, socket := range sockets {
+		l.group.Go(func() { l.balancer.serve(socket, l.balancer.fromCallers(service.ID)) })
+	}
+
+	l.balancer.logger.Info("service address bound", "service", service.Name, "address", address.String())
+
+	return listener{address: address, sockets: sockets}, true
+}
+
+func (l *listeners) stop(removed listener) {
+	for _, socket := range removed.sockets {
+		if err := socket.Stop(); err != nil {
+			l.balancer.logger.Warn("socket not stopped", "address", removed.address.String(), "error", err)
+		}
+	}
+}
+
+// close stops all sockets and waits for their goroutines.
+func (l *listeners) close() {
+	for _, existing := range *l.published.Load() {
+		l.stop(existing)
+	}
+
+	l.group.Wait()
+}
--- /dev/null
+++ b/internal/program/balancer/relay.go
@@ -0,0 +1,227 @@
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"jayspindle/internal/coordination/rollout"
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/transport/identity"
+	"jayspindle/internal/transport/link"
+)
+
+const (
+	relayGrace = time.Second
+	// batchInterval collects renewals, so that the controllers get one message
+	// for all instances of an availability zone. It stays well below the second
+	// after which an instance renews again.
+	batchInterval = 300 * time.Millisecond
+	callTimeout   = 2 * time.Second
+)
+
+// relay serves views and membership calls to the instances of an availability
+// zone, so that the cost for controllers does not grow with the instances.
+type relay struct {
+	environment string
+	publisher   *rollout.Publisher
+	server      *link.Server
+	upstream    *link.Client
+	renewals    chan renewal
+	logger      *slog.Logger
+}
+
+// renewal is one renewal that waits for its batch.
+type renewal struct {
+	renewal control.Renewal
+	result  chan renewalResult
+}
+
+type renewalResult struct {
+	unknown bool
+	err     error
+}
+
+func newRelay(config Settings, store *identity.Store, logger *slog.Logger) (*relay, error) {
+	environment := config.Instance.Environment
+
+	server, err := link.Listen(config.Relay, link.ServerOptions{
+		Identity: store,
+		Accept: identity.Policy{
+			Roles:       []identity.Role{identity.RoleAgent, identity.RoleBalancer},
+			Environment: environment,
+		},
+		Logger: logger,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	r := &relay{
+		environment: environment,
+		publisher:   rollout.New(environment),
+		server:      server,
+		upstream: link.Dial(link.ClientOptions{
+			Addresses: config.Upstreams,
+			Identity:  store,
+			Accept: identity.Policy{
+				Roles:       []identity.Role{identity.RoleController},
+				Environment: environment,
+			},
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+		renewals: make(chan renewal, control.MaxRenewals),
+		logger:   logger,
+	}
+
+	server.HandleStream(control.MethodWatch, rollout.Handler(r.publisher))
+	server.Handle(control.MethodRenew, r.renew)
+	server.Handle(control.MethodAnnounce, func(ctx context.Context, request *link.Request) (any, error) {
+		return pass[control.Announce, control.AnnounceReply](ctx, r.upstream, request)
+	})
+	server.Handle(control.MethodLeave, func(ctx context.Context, request *link.Request) (any, error) {
+		return pass[control.Leave, control.LeaveReply](ctx, r.upstream, request)
+	})
+
+	return r, nil
+}
+
+// pass hands a call on to the controllers.
+func pass[Q, A any](ctx context.Context, upstream *link.Client, request *link.Request) (any, error) {
+	var (
+		message Q
+		reply   A
+	)
+
+	if err := request.Decode(&message); err != nil {
+		return nil, err
+	}
+
+	if err := upstream.Call(ctx, request.Method(), &message, &reply); err != nil {
+		return nil, err
+	}
+
+	return &reply, nil
+}
+
+func (r *relay) run(ctx context.Context) {
+	var group conc.WaitGroup
+
+	group.Go(func() { r.batch(ctx) })
+	group.Go(func() { r.tick(ctx) })
+
+	if err := r.server.Serve(ctx, relayGrace); err != nil {
+		r.logger.Error("relay ended", "error", err)
+	}
+
+	group.Wait()
+	r.upstream.Close()
+}
+
+// tick publishes coalesced views.
+func (r *relay) tick(ctx context.Context) {
+	ticker := time.NewTicker(rollout.CoalesceInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case now := <-ticker.C:
+			r.publisher.Tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renew adds the renewals of a call to the next batch.
+func (r *relay) renew(ctx context.Context, request *link.Request) (any, error) {
+	var message control.Renew
+	if err := request.Decode(&message); err != nil {
+		return nil, err
+	}
+
+	if message.Environment != r.environment {
+		return nil, link.Errorf(link.KindInvalid, "the relay serves %q, not %q", r.environment, message.Environment)
+	}
+
+	var reply control.RenewReply
+
+	for _, item := range message.Renewals {
+		waiting := renewal{renewal: item, result: make(chan renewalResult, 1)}
+
+		select {
+		case r.renewals <- waiting:
+		default:
+			return nil, link.Errorf(link.KindBusy, "too many renewals wait")
+		}
+
+		select {
+		case result := <-waiting.result:
+			if result.err != nil {
+				return nil, result.err
+			}
+
+			if result.unknown {
+				reply.Unknown = append(reply.Unknown, item.Incarnation)
+			}
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+
+	return &reply, nil
+}
+
+// batch sends the collected renewals to the controllers.
+func (r *relay) batch(ctx context.Context) {
+	ticker := time.NewTicker(batchInterval)
+	defer ticker.Stop()
+
+	var waiting []renewal
+
+	for {
+		select {
+		case next := <-r.renewals:
+			waiting = append(waiting, next)
+			if len(waiting) < control.MaxRenewals {
+				continue
+			}
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+
+		if len(waiting) > 0 {
+			r.flush(ctx, waiting)
+			waiting = nil
+		}
+	}
+}
+
+func (r *relay) flush(ctx context.Context, waiting []renewal) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	request := control.Renew{Environment: r.environment}
+	for _, item := range waiting {
+		request.Renewals = append(request.Renewals, item.renewal)
+	}
+
+	var reply control.RenewReply
+
+	err := r.upstream.Call(ctx, control.MethodRenew, &request, &reply)
+
+	unknown := make(map[view.Incarnation]bool, len(reply.Unknown))
+	for _, incarnation := range reply.Unknown {
+		unknown[incarnation] = true
+	}
+
+	for _, item := range waiting {
+		item.result <- renewalResult{unknown: unknown[item.renewal.Incarnation], err: err}
+	}
+}
--- /dev/null
+++ b/internal/program/member/member.go
@@ -0,0 +1,275 @@
+// Package member keeps an agent or a balancer in its environment: it announces
+// the instance, renews its lease and follows the views of the environment.
+//
+// # Usage
+//
+//	member := member.New(options)
+//	group.Go(func() { member.Run(ctx) })
+//	if err := member.Wait(ctx); err != nil {
+//		return err
+//	}
+//	current := member.View()
+//
+// A restarted instance without a disk has no view until a controller or relay
+// has given it one. While control is unreachable the last view stays in force.
+package member
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"jayspindle/internal/coordination/rollout"
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/transport/identity"
+	"jayspindle/internal/transport/link"
+)
+
+const (
+	// renewInterval gives a lease of 3 s three chances to be renewed.
+	renewInterval = time.Second
+	callTimeout   = 2 * time.Second
+	bootIDLength  = 16
+)
+
+// Options are the dependencies of a member.
+type Options struct {
+	Environment string
+	Upstreams   []netip.AddrPort // controllers or relays, in order of preference
+	Identity    *identity.Store
+	// Announce returns the announcement with the given boot ID, signed if the
+	// role needs it.
+	Announce func(bootID []byte) control.Announce
+	Load     func() uint8     // percent of the slots in use
+	Sink     rollout.Sink     // optional; a relay's publisher
+	OnView   func(*view.View) // called for each view that is put into force
+	Logger   *slog.Logger     //
+	Random   *mathrand.Rand   // seeds the jitter of links
+}
+
+// Member is the membership of one instance.
+type Member struct {
+	options     Options
+	calls       *link.Client
+	bootID      []byte
+	current     atomic.Pointer[inForce]
+	confirmed   atomic.Int64 // Unix nanoseconds
+	incarnation atomic.Uint32
+	ready       chan struct{} // closed once there is a view and an incarnation
+	readyOnce   sync.Once
+}
+
+// inForce is a view and the time since which it is in force.
+type inForce struct {
+	view  *view.View
+	since time.Time
+}
+
+// New returns a member that is not announced yet.
+func New(options Options) *Member {
+	bootID := make([]byte, bootIDLength)
+	_, _ = rand.Read(bootID) // never fails: crypto/rand aborts the process instead
+
+	return &Member{
+		options: options,
+		calls:   newClient(options, options.Upstreams),
+		bootID:  bootID,
+		ready:   make(chan struct{}),
+	}
+}
+
+func newClient(options Options, addresses []netip.AddrPort) *link.Client {
+	return link.Dial(link.ClientOptions{
+		Addresses: addresses,
+		Identity:  options.Identity,
+		Accept: identity.Policy{
+			Roles:       []identity.Role{identity.RoleController, identity.RoleBalancer},
+			Environment: options.Environment,
+		},
+		Random: mathrand.New(mathrand.NewPCG(options.Random.Uint64(), options.Random.Uint64())),
+	})
+}
+
+// Run announces, renews and follows until the context ends.
+func (m *Member) Run(ctx context.Context) {
+	var group conc.WaitGroup
+
+	clients := make([]*link.Client, 0, len(m.options.Upstreams))
+	upstreams := make([]rollout.Upstream, 0, len(m.options.Upstreams))
+
+	for _, address := range m.options.Upstreams {
+		client := newClient(m.options, []netip.AddrPort{address})
+		clients = append(clients, client)
+		upstreams = append(upstreams, rollout.FromClient(client))
+	}
+
+	random := mathrand.New(mathrand.NewPCG(m.options.Random.Uint64(), m.options.Random.Uint64()))
+	follower := rollout.NewFollower(m.options.Environment, nil)
+
+	group.Go(func() {
+		err := rollout.Subscribe(ctx, upstreams, follower, m, random)
+		m.options.Logger.Debug("subscription ended", "cause", err)
+	})
+	group.Go(func() { m.keepLease(ctx) })
+	group.Wait()
+
+	for _, client := range clients {
+		client.Close()
+	}
+}
+
+// Close closes the link for calls. Leave cannot be called afterwards.
+func (m *Member) Close() { m.calls.Close() }
+
+// Apply puts a view into force. It implements rollout.Sink.
+func (m *Member) Apply(now time.Time, next *view.View) {
+	m.current.Store(&inForce{view: next, since: now})
+	m.options.Logger.Info("view in force", "position", next.Position().String(), "version", next.Version(),
+		"services", len(next.Services()), "agents", len(next.Agents()), "balancers", len(next.Balancers()))
+
+	if m.options.Sink != nil {
+		m.options.Sink.Apply(now, next)
+	}
+
+	if m.options.OnView != nil {
+		m.options.OnView(next)
+	}
+
+	m.checkReady()
+}
+
+// Confirm records when a leader last confirmed the view. It implements
+// rollout.Sink.
+func (m *Member) Confirm(at time.Time) {
+	m.confirmed.Store(at.UnixNano())
+
+	if m.options.Sink != nil {
+		m.options.Sink.Confirm(at)
+	}
+}
+
+// Confirmed reports whether a leader has confirmed the view in force recently.
+func (m *Member) Confirmed(now time.Time) bool {
+	return now.Sub(time.Unix(0, m.confirmed.Load())) <= rollout.ConfirmationLimit
+}
+
+func (m *Member) checkReady() {
+	if m.current.Load() != nil && m.incarnation.Load() != 0 {
+		m.readyOnce.Do(func() { close(m.ready) })
+	}
+}
+
+// Wait returns once there is a view and an incarnation.
+func (m *Member) Wait(ctx context.Context) error {
+	select {
+	case <-m.ready:
+		return nil
+	case <-ctx.Done():
+		return newError("wait for a view", KindCancelled, context.Cause(ctx))
+	}
+}
+
+// View returns the view in force. It is nil before Wait has returned.
+func (m *Member) View() *view.View {
+	current := m.current.Load()
+	if current == nil {
+		return nil
+	}
+
+	return current.view
+}
+
+// Incarnation returns the incarnation of the instance, 0 before Wait has returned.
+func (m *Member) Incarnation() view.Incarnation { return view.Incarnation(m.incarnation.Load()) }
+
+// keepLease announces the instance and renews its lease. An instance that is
+// no longer known, for example after it was cut off for longer than the lease,
+// announces again with the same boot ID and keeps its incarnation.
+func (m *Member) keepLease(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+
+	known := false
+
+	for {
+		var err error
+
+		if known {
+			known, err = m.renew(ctx)
+		} else {
+			known, err = m.announce(ctx)
+		}
+
+		if err != nil && ctx.Err() == nil {
+			m.options.Logger.Warn("lease not kept", "known", known, "error", err)
+		}
+
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announce reports whether the instance is known afterwards.
+func (m *Member) announce(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	announce := m.options.Announce(m.bootID)
+
+	var reply control.AnnounceReply
+	if err := m.calls.Call(ctx, control.MethodAnnounce, &announce, &reply); err != nil {
+		return false, errors.Trace(err)
+	}
+
+	previous := view.Incarnation(m.incarnation.Swap(uint32(reply.Incarnation)))
+	m.options.Logger.Info("announced", "incarnation", reply.Incarnation, "previous", previous, "weight", reply.Weight)
+	m.checkReady()
+
+	return true, nil
+}
+
+// renew reports whether the instance is still known. An error of the link says
+// nothing about that.
+func (m *Member) renew(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	renewal := control.Renewal{Incarnation: m.Incarnation(), Load: m.options.Load()}
+	if current := m.current.Load(); current != nil {
+		renewal.Position = current.view.Position()
+		renewal.Since = time.Since(current.since)
+	}
+
+	var reply control.RenewReply
+
+	request := control.Renew{Environment: m.options.Environment, Renewals: []control.Renewal{renewal}}
+	if err := m.calls.Call(ctx, control.MethodRenew, &request, &reply); err != nil {
+		return true, errors.Trace(err)
+	}
+
+	return len(reply.Unknown) == 0, nil
+}
+
+// Leave tells the controllers that the instance drains or is gone.
+func (m *Member) Leave(ctx context.Context, phase control.Phase) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	leave := control.Leave{Environment: m.options.Environment, Incarnation: m.Incarnation(), Phase: phase}
+
+	var reply control.LeaveReply
+
+	return errors.Trace(m.calls.Call(ctx, control.MethodLeave, &leave, &reply))
+}
