--- /dev/null
+++ b/internal/coordination/routing/table.go
@@ -0,0 +1,225 @@
+// Package routing selects the agents of new flows: an immutable table from
+// service and connection ID hash to agent, built from a view.
+//
+// # Usage
+//
+//	table := routing.New(current)
+//	incarnation, ok := table.Owner(service, routing.Hash(packet.DCID))
+//	next := table.Next(updated) // recomputes only services whose agents changed
+//	published.Store(next)
+//
+// A table never changes, so readers need no lock and are never blocked by a
+// rebuild. Flows that are established do not use it: their connection IDs name
+// their agent.
+package routing
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayspindle/internal/state/view"
+)
+
+const (
+	defaultBuckets = 1024
+	maxBuckets     = 1 << 14
+
+	// noOwner marks the buckets of a service without an eligible agent.
+	noOwner = 1<<16 - 1
+)
+
+// Hash returns the hash of a destination connection ID that selects a bucket.
+func Hash(dcid []byte) uint64 { return xxhash.Sum64(dcid) }
+
+// Table is the routing state of one view.
+type Table struct {
+	view     *view.View
+	services []*buckets // by service ID; nil for an unknown service
+	rebuilt  int
+}
+
+// New computes the table of a view.
+func New(current *view.View) *Table {
+	return (&Table{}).Next(current)
+}
+
+// Next computes the table of another view. Services whose eligible agents,
+// weights and number of buckets are the same keep their buckets.
+func (t *Table) Next(next *view.View) *Table {
+	services := next.Services()
+
+	length := 0
+	if len(services) > 0 {
+		length = int(services[len(services)-1].ID) + 1
+	}
+
+	table := &Table{view: next, services: make([]*buckets, length)}
+
+	for i := range services {
+		service := &services[i]
+		agents := next.AgentsOf(service.ID)
+		count := bucketCount(service.Buckets)
+
+		old := t.bucketsOf(service.ID)
+		if old != nil && old.matches(agents, count) {
+			table.services[service.ID] = old
+
+			continue
+		}
+
+		table.services[service.ID] = newBuckets(agents, count)
+		table.rebuilt++
+	}
+
+	return table
+}
+
+// bucketCount returns a power of two, also for a view that states none.
+func bucketCount(stated uint16) int {
+	if stated == 0 || stated&(stated-1) != 0 || stated > maxBuckets {
+		return defaultBuckets
+	}
+
+	return int(stated)
+}
+
+func (t *Table) bucketsOf(service view.ServiceID) *buckets {
+	if int(service) >= len(t.services) {
+		return nil
+	}
+
+	return t.services[service]
+}
+
+// View returns the view of the table.
+func (t *Table) View() *view.View { return t.view }
+
+// Rebuilt returns the number of services that had to be computed.
+func (t *Table) Rebuilt() int { return t.rebuilt }
+
+// Owner returns the agent of a new flow. It reports false if the service is
+// unknown or has no eligible agent.
+func (t *Table) Owner(service view.ServiceID, hash uint64) (view.Incarnation, bool) {
+	buckets := t.bucketsOf(service)
+	if buckets == nil {
+		return 0, false
+	}
+
+	owner := buckets.owners[hash&buckets.mask]
+	if owner == noOwner {
+		return 0, false
+	}
+
+	return buckets.members[owner].incarnation, true
+}
+
+// Ranked returns the agent of a new flow when the agents of all lower ranks
+// are passed over. Rank 0 is the owner. It computes the rank from the scores,
+// in time proportional to rank and number of agents, without allocating.
+func (t *Table) Ranked(service view.ServiceID, hash uint64, rank int) (view.Incarnation, bool) {
+	buckets := t.bucketsOf(service)
+	if buckets == nil || rank < 0 || rank >= len(buckets.members) {
+		return 0, false
+	}
+
+	return buckets.ranked(hash&buckets.mask, rank), true
+}
+
+// Ranks returns the number of agents of a service that get new flows.
+func (t *Table) Ranks(service view.ServiceID) int {
+	buckets := t.bucketsOf(service)
+	if buckets == nil {
+		return 0
+	}
+
+	return len(buckets.members)
+}
+
+// member is an agent that gets new flows.
+type member struct {
+	incarnation view.Incarnation
+	weight      uint8
+	seed        uint64 // hash of the incarnation
+}
+
+// eligible returns the agents that get new flows, by rising incarnation.
+func eligible(agents []view.Agent) []member {
+	members := make([]member, 0, len(agents))
+
+	for i := range agents {
+		if weight := weightOf(&agents[i]); weight > 0 {
+			incarnation := agents[i].Incarnation
+			members = append(members, member{incarnation, weight, mix(uint64(incarnation))})
+		}
+	}
+
+	return members
+}
+
+// weightOf returns 0 for an agent that gets no new flow.
+func weightOf(agent *view.Agent) uint8 {
+	if agent.State != view.Active {
+		return 0
+	}
+
+	return min(agent.Weight, view.MaxWeight)
+}
+
+// buckets is the part of a table for one service.
+type buckets struct {
+	members []member
+	owners  []uint16 // indices into members
+	mask    uint64
+}
+
+func newBuckets(agents []view.Agent, count int) *buckets {
+	members := eligible(agents)
+
+	return &buckets{members: members, owners: rendezvous(members, count), mask: uint64(count - 1)}
+}
+
+// matches reports whether the buckets of these agents would be the same.
+func (b *buckets) matches(agents []view.Agent, count int) bool {
+	if len(b.owners) != count {
+		return false
+	}
+
+	i := 0
+
+	for j := range agents {
+		weight := weightOf(&agents[j])
+		if weight == 0 {
+			continue
+		}
+
+		if i == len(b.members) || b.members[i].incarnation != agents[j].Incarnation || b.members[i].weight != weight {
+			return false
+		}
+
+		i++
+	}
+
+	return i == len(b.members)
+}
+
+// ranked returns the owner of a bucket for rank 0, and for the next ranks the
+// other members by falling score.
+func (b *buckets) ranked(bucket uint64, rank int) view.Incarnation {
+	owner := int(b.owners[bucket])
+	if rank == 0 {
+		return b.members[owner].incarnation
+	}
+
+	chosen, bound := -1, above
+
+	for range rank {
+		chosen = best(b.members, bucket, func(i int, s score) bool { return i != owner && s.less(bound) })
+		bound = scoreOf(&b.members[chosen], chosen, bucket)
+	}
+
+	return b.members[chosen].incarnation
+}
+
+// unowned returns the owners of a service without eligible agents.
+func unowned(count int) []uint16 { return slices.Repeat([]uint16{noOwner}, count) }
