Keep rendezvous hashing with a limit for new flows

Change: weighted rendezvous hashing with at most 1.05 times the fair share of buckets remains; plain rendezvous and Maglev are removed. Further ranks follow the scores, without allocation.

--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -14,8 +14,6 @@
 package routing
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"jayspindle/internal/state/view"
@@ -176,7 +174,7 @@
 func newBuckets(agents []view.Agent, count int) *buckets {
 	members := eligible(agents)
 
-	return &buckets{members: members, owners: rendezvous(members, count), mask: uint64(count - 1)}
+	return &buckets{members: members, owners: fill(members, count), mask: uint64(count - 1)}
 }
 
 // matches reports whether the buckets of these agents would be the same.
@@ -211,15 +209,10 @@
 		return b.members[owner].incarnation
 	}
 
-	chosen, bound := -1, above
-
+	bound := above
 	for range rank {
-		chosen = best(b.members, bucket, func(i int, s score) bool { return i != owner && s.less(bound) })
-		bound = scoreOf(&b.members[chosen], chosen, bucket)
+		bound = following(b.members, owner, bucket, bound)
 	}
 
-	return b.members[chosen].incarnation
+	return b.members[bound.place].incarnation
 }
-
-// unowned returns the owners of a service without eligible agents.
-func unowned(count int) []uint16 { return slices.Repeat([]uint16{noOwner}, count) }
