Decide on datagrams between callers, balancers and agents

Cause: balancer and agent programs need the decisions of the data path as a state machine that can be tested apart from sockets.

Change: forward.Balancer sends packets of established flows by connection ID and first packets by table, within token buckets for each service and source. Agents that refused or sent a stale notice are passed over until the view changes, for at most 3 s. forward.Agent accepts only its own service and incarnation, answers stale notices, and rotates replies over balancers heard from within a second. Every decision has a reason that indexes counters. An invariant asserts that nothing is sent or delivered to another service.

--- /dev/null
+++ b/internal/coordination/forward/agent.go
@@ -0,0 +1,168 @@
+package forward
+
+import (
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"jayspindle/internal/protocol/datagram"
+	"jayspindle/internal/state/invariant"
+	"jayspindle/internal/state/view"
+)
+
+// Agent is the state of an agent's data path. It is safe for concurrent use.
+type Agent struct {
+	self     view.Incarnation
+	service  view.ServiceID
+	counters Counters
+
+	mutex     sync.Mutex
+	view      *view.View
+	datagrams *datagram.Keys
+	paths     *paths
+	header    datagram.Header
+}
+
+// NewAgent returns an agent without a view, which drops everything.
+func NewAgent(self view.Incarnation, service view.ServiceID) *Agent {
+	return &Agent{self: self, service: service, paths: newPaths()}
+}
+
+// Apply puts a view in force.
+func (a *Agent) Apply(next *view.View) error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+
+	if a.view != nil && next.Position().Less(a.view.Position()) {
+		return &Error{operation: "apply", kind: KindReversal, err: errors.Errorf(
+			"the view is at %s, %s is in force", next.Position(), a.view.Position())}
+	}
+
+	if a.view == nil || !slices.Equal(a.view.Keys(), next.Keys()) {
+		keys, err := datagram.New(next.Keys())
+		if err != nil {
+			return &Error{operation: "apply", kind: KindKeys, err: err}
+		}
+
+		a.datagrams = keys
+	}
+
+	a.view = next
+	a.paths.apply(next)
+
+	return nil
+}
+
+// Counts returns the decisions by reason.
+func (a *Agent) Counts() Counts {
+	var total Counts
+
+	a.counters.AddTo(&total)
+
+	return total
+}
+
+// Receive decides on a datagram that arrived at the data socket from source.
+func (a *Agent) Receive(now time.Time, received []byte, source netip.AddrPort) Decision {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+
+	return a.counters.count(a.receive(now, received, source))
+}
+
+func (a *Agent) receive(now time.Time, received []byte, source netip.AddrPort) Decision {
+	if a.view == nil {
+		return drop(NoView)
+	}
+
+	if reason := a.datagrams.Open(received, &a.header); reason != datagram.OK {
+		return drop(ofHeader[reason])
+	}
+
+	a.paths.hear(now, a.header.Balancer, source)
+
+	switch a.header.Kind {
+	case datagram.Forward:
+		return a.accept(received, source)
+	case datagram.Ping:
+		return pong(&a.header, a.view.Position().Index, source)
+	case datagram.Pong:
+		return drop(Noted)
+	default:
+		return drop(WrongKind)
+	}
+}
+
+// accept delivers only what is addressed to this service and incarnation: an
+// address can have belonged to another agent, of any service.
+func (a *Agent) accept(received []byte, source netip.AddrPort) Decision {
+	if a.header.Agent != a.self {
+		header := a.header
+		header.Kind = datagram.Stale
+		header.Index = a.view.Position().Index
+
+		return Decision{Action: Answer, Reason: WrongAgent, Header: header, To: source}
+	}
+
+	if a.header.Service != a.service {
+		// A stale notice would make the balancer skip this agent for its own service.
+		return drop(WrongService)
+	}
+
+	if len(received) == datagram.HeaderLength || !a.header.Caller.IsValid() {
+		return drop(NoPayload)
+	}
+
+	return a.deliver()
+}
+
+func (a *Agent) deliver() Decision {
+	invariant.Assert(a.header.Service == a.service && a.header.Agent == a.self,
+		"forward: a datagram is delivered only to its service and agent",
+		slog.Int("service", int(a.header.Service)), slog.Int("agent", int(a.header.Agent)))
+
+	return Decision{Action: Deliver, Reason: Delivered, Header: a.header}
+}
+
+// Reply returns the header of a reply and the balancer to send it to. It
+// reports false if there is no balancer. Successive replies to one caller take
+// different balancers, so a retransmission does not follow its original.
+func (a *Agent) Reply(now time.Time, caller netip.AddrPort) (datagram.Header, netip.AddrPort, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+
+	if a.view == nil {
+		return datagram.Header{}, netip.AddrPort{}, false
+	}
+
+	chosen, ok := a.paths.next(now, callerHash(caller))
+	if !ok {
+		return datagram.Header{}, netip.AddrPort{}, false
+	}
+
+	return datagram.Header{
+		Kind: datagram.Reply, Service: a.service, Agent: a.self, Balancer: chosen.incarnation,
+		Index: a.view.Position().Index, Caller: caller,
+	}, chosen.address, true
+}
+
+// Seal writes a header with the newest key of the view in force. A view must
+// have been applied.
+func (a *Agent) Seal(buffer []byte, header *datagram.Header) {
+	a.mutex.Lock()
+	keys := a.datagrams
+	a.mutex.Unlock()
+
+	keys.Seal(buffer, header)
+}
+
+func callerHash(caller netip.AddrPort) uint64 {
+	address := caller.Addr().As16()
+
+	return xxhash.Sum64(address[:]) + uint64(caller.Port())
+}
--- /dev/null
+++ b/internal/coordination/forward/agent_test.go
@@ -0,0 +1,108 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/protocol/datagram"
+	"jayspindle/internal/state/view"
+)
+
+func newAgent(t testing.TB, change func(*view.Contents)) *forward.Agent {
+	t.Helper()
+
+	made := contents()
+	if change != nil {
+		change(&made)
+	}
+
+	agent := forward.NewAgent(1, crew)
+	is.New(t).NoErr(agent.Apply(view.New(made)))
+
+	return agent
+}
+
+// hear passes a ping of a balancer to an agent.
+func hear(f fixture, agent *forward.Agent, now time.Time, balancer view.Incarnation) forward.Decision {
+	ping := datagram.Header{Kind: datagram.Ping, Balancer: balancer}
+
+	return agent.Receive(now, f.sealed(ping, ""), address(int(balancer)))
+}
+
+// routes returns the balancers of the next replies to the caller.
+func routes(agent *forward.Agent, now time.Time, replies int) map[view.Incarnation]int {
+	count := map[view.Incarnation]int{}
+
+	for range replies {
+		if header, _, ok := agent.Reply(now, caller); ok {
+			count[header.Balancer]++
+		}
+	}
+
+	return count
+}
+
+// Guards against delivery to another service or incarnation after an address
+// was reused, and against a stale notice that hits the agent itself.
+func TestReceive(t *testing.T) {
+	f, agent := newFixture(t, nil), newAgent(t, nil)
+	header := datagram.Header{Kind: datagram.Forward, Service: crew, Agent: 1, Balancer: self, Caller: caller}
+
+	got := agent.Receive(start, f.sealed(header, "x"), peer)
+	is.New(t).Equal(got.Action, forward.Deliver)
+	is.New(t).Equal(got.Header.Caller, caller)
+
+	other := header
+	other.Service = desk
+	assertDropped(t, agent.Receive(start, f.sealed(other, "x"), peer), forward.WrongService)
+
+	other.Agent = 2
+	got = agent.Receive(start, f.sealed(other, "x"), peer)
+	is.New(t).Equal(got.Action, forward.Answer)
+	is.New(t).Equal(got.Header.Kind, datagram.Stale)
+	is.New(t).Equal(got.Header.Agent, view.Incarnation(2))
+	is.New(t).Equal(got.To, peer)
+
+	forged := f.sealed(header, "x")
+	forged[3]++
+	assertDropped(t, agent.Receive(start, forged, peer), forward.HeaderTag)
+	assertDropped(t, agent.Receive(start, f.sealed(header, ""), peer), forward.NoPayload)
+	is.New(t).Equal(agent.Counts()[forward.WrongAgent], uint64(1))
+}
+
+// Guards against replies that go on to a silent balancer for longer than a
+// second, and against an agent that cannot reply before it heard from any.
+func TestReplyRotation(t *testing.T) {
+	f, agent := newFixture(t, nil), newAgent(t, nil)
+
+	is.New(t).Equal(routes(agent, start, 6), map[view.Incarnation]int{900: 2, 901: 2, 902: 2})
+
+	hear(f, agent, start, 900)
+	hear(f, agent, start, 901)
+	is.New(t).Equal(routes(agent, start, 6), map[view.Incarnation]int{900: 3, 901: 3})
+
+	hear(f, agent, start.Add(time.Second), 901)
+	is.New(t).Equal(routes(agent, start.Add(1001*time.Millisecond), 6), map[view.Incarnation]int{901: 6})
+	is.New(t).Equal(len(routes(agent, start.Add(3*time.Second), 6)), 3)
+}
+
+// Guards against losing the replies through balancers that joined or drain
+// while the agent's view is older or newer than theirs.
+func TestReplyViews(t *testing.T) {
+	f := newFixture(t, nil)
+	agent := newAgent(t, func(c *view.Contents) { c.Balancers[1].State = view.Draining })
+
+	hear(f, agent, start, 901) // draining
+	hear(f, agent, start, 950) // newer than the view
+	hear(f, agent, start, 850) // has left
+	is.New(t).Equal(routes(agent, start, 4), map[view.Incarnation]int{950: 4})
+
+	later := contents()
+	later.Position.Index++
+	later.Balancers = append(later.Balancers, view.Balancer{Incarnation: 950, Data: address(950), State: view.Active})
+	is.New(t).NoErr(agent.Apply(view.New(later)))
+	is.New(t).Equal(routes(agent, start, 4), map[view.Incarnation]int{901: 2, 950: 2})
+}
--- /dev/null
+++ b/internal/coordination/forward/balancer.go
@@ -0,0 +1,350 @@
+// Package forward decides what balancers and agents do with each datagram. It
+// does no input or output, and the caller passes the time.
+//
+// # Usage
+//
+// A balancer applies views in one goroutine and decides in many, each of which
+// has its own worker:
+//
+//	balancer := forward.NewBalancer(incarnation, seed)
+//	err := balancer.Apply(current)
+//	worker := balancer.Worker()
+//	decision := worker.FromCaller(now, service, payload, source)
+//	if decision.Action == forward.Send {
+//		worker.Seal(framed, &decision.Header)
+//		outbox.Add(data, framed, decision.To)
+//	}
+//
+// An agent decides with an Agent, which also selects the balancer of each reply:
+//
+//	decision := agent.Receive(now, received, source)
+//	header, to, ok := agent.Reply(now, caller)
+//
+// Deciding does not allocate and blocks only on short locks for first packets.
+package forward
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jayspindle/internal/coordination/routing"
+	"jayspindle/internal/protocol/connid"
+	"jayspindle/internal/protocol/datagram"
+	"jayspindle/internal/state/invariant"
+	"jayspindle/internal/state/view"
+)
+
+// snapshot is everything that workers read. It never changes.
+type snapshot struct {
+	view        *view.View
+	table       *routing.Table
+	connections *connid.Keys
+	datagrams   *datagram.Keys
+	limiters    []*limiter // by service ID
+	addresses   func() map[netip.AddrPort][]view.Incarnation
+}
+
+// Balancer is the state of a balancer. It is safe for concurrent use, but for
+// Apply, which one goroutine calls.
+type Balancer struct {
+	self    view.Incarnation
+	seed    [2]uint64
+	current atomic.Pointer[snapshot]
+	skips   *skips
+
+	mutex   sync.Mutex
+	workers []*Worker
+}
+
+// NewBalancer returns a balancer without a view, which drops everything. The
+// seed keys the hashes of sources and must be hard to guess.
+func NewBalancer(self view.Incarnation, seed uint64) *Balancer {
+	random := rand.New(rand.NewPCG(seed, uint64(self)))
+
+	return &Balancer{self: self, seed: [2]uint64{random.Uint64(), random.Uint64()}, skips: newSkips()}
+}
+
+// Apply puts a view in force. Limits that did not change keep their state.
+func (b *Balancer) Apply(next *view.View) error {
+	old := b.current.Load()
+	made := &snapshot{view: next}
+
+	if old != nil && next.Position().Less(old.view.Position()) {
+		return &Error{operation: "apply", kind: KindReversal, err: errors.Errorf(
+			"the view is at %s, %s is in force", next.Position(), old.view.Position())}
+	}
+
+	if err := made.setKeys(old, next); err != nil {
+		return &Error{operation: "apply", kind: KindKeys, err: err}
+	}
+
+	if old == nil {
+		made.table = routing.New(next)
+	} else {
+		made.table = old.table.Next(next)
+	}
+
+	made.limiters = b.limitersOf(old, next)
+	made.addresses = sync.OnceValue(func() map[netip.AddrPort][]view.Incarnation { return byAddress(next) })
+
+	b.current.Store(made)
+	b.skips.clear()
+
+	return nil
+}
+
+func (s *snapshot) setKeys(old *snapshot, next *view.View) error {
+	if old != nil && slices.Equal(old.view.Keys(), next.Keys()) {
+		s.connections, s.datagrams = old.connections, old.datagrams
+
+		return nil
+	}
+
+	var err error
+	if s.connections, err = connid.New(next.Keys()); err != nil {
+		return err
+	}
+
+	s.datagrams, err = datagram.New(next.Keys())
+
+	return err
+}
+
+func (b *Balancer) limitersOf(old *snapshot, next *view.View) []*limiter {
+	services := next.Services()
+	if len(services) == 0 {
+		return nil
+	}
+
+	limiters := make([]*limiter, int(services[len(services)-1].ID)+1)
+
+	for i := range services {
+		id, limits := services[i].ID, services[i].Limits
+		if old != nil && int(id) < len(old.limiters) {
+			limiters[id] = old.limiters[id]
+		}
+
+		if limiters[id] == nil || limiters[id].limits != limits {
+			limiters[id] = newLimiter(limits, b.seed)
+		}
+	}
+
+	return limiters
+}
+
+func byAddress(current *view.View) map[netip.AddrPort][]view.Incarnation {
+	agents := make(map[netip.AddrPort][]view.Incarnation, len(current.Agents()))
+	for _, agent := range current.Agents() {
+		agents[agent.Data] = append(agents[agent.Data], agent.Incarnation)
+	}
+
+	return agents
+}
+
+// Refused notes that a destination refused a datagram: first packets pass over
+// its agents until the view changes, for at most 3 s.
+func (b *Balancer) Refused(now time.Time, destination netip.AddrPort) {
+	current := b.current.Load()
+	if current == nil {
+		return
+	}
+
+	for _, agent := range current.addresses()[destination] {
+		b.skips.add(now, agent)
+	}
+}
+
+// Counts returns the decisions of all workers by reason.
+func (b *Balancer) Counts() Counts {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	var total Counts
+	for _, worker := range b.workers {
+		worker.counters.AddTo(&total)
+	}
+
+	return total
+}
+
+// Worker returns the state of one goroutine that decides.
+func (b *Balancer) Worker() *Worker {
+	worker := &Worker{balancer: b}
+
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	b.workers = append(b.workers, worker)
+
+	return worker
+}
+
+// Worker decides for one goroutine.
+type Worker struct {
+	balancer *Balancer
+	scratch  connid.Scratch
+	header   datagram.Header
+	counters Counters
+}
+
+// Seal writes a header with the newest key of the view in force.
+func (w *Worker) Seal(buffer []byte, header *datagram.Header) {
+	w.balancer.current.Load().datagrams.Seal(buffer, header)
+}
+
+// FromCaller decides on a datagram that arrived at the socket of a service.
+func (w *Worker) FromCaller(
+	now time.Time, service view.ServiceID, payload []byte, source netip.AddrPort,
+) Decision {
+	return w.counters.count(w.fromCaller(now, service, payload, source))
+}
+
+func (w *Worker) fromCaller(now time.Time, service view.ServiceID, payload []byte, source netip.AddrPort) Decision {
+	current := w.balancer.current.Load()
+	if current == nil {
+		return drop(NoView)
+	}
+
+	packet := connid.Parse(payload)
+
+	switch {
+	case packet.Kind == connid.Invalid:
+		return drop(NotQUIC)
+	case packet.Kind == connid.Retry || packet.Kind == connid.VersionNegotiation:
+		return drop(NotCaller)
+	case source.Port() == 0 || source.Addr().IsUnspecified():
+		return drop(NotCaller)
+	}
+
+	if agent, ok := current.connections.Open(&w.scratch, packet.DCID, service); ok {
+		return w.toAgent(current, Direct, service, agent, source)
+	}
+
+	if !packet.First(len(payload)) {
+		return drop(NotFirst)
+	}
+
+	return w.first(now, current, service, packet.DCID, source)
+}
+
+// first decides on a packet that may open a flow.
+func (w *Worker) first(
+	now time.Time, current *snapshot, service view.ServiceID, dcid []byte, source netip.AddrPort,
+) Decision {
+	if int(service) >= len(current.limiters) || current.limiters[service] == nil {
+		return drop(NoService)
+	}
+
+	if reason := current.limiters[service].admit(now, source.Addr()); reason != First {
+		return drop(reason)
+	}
+
+	hash := routing.Hash(dcid)
+
+	owner, ok := current.table.Owner(service, hash)
+	if !ok {
+		return drop(NoAgent)
+	}
+
+	if !w.balancer.skips.contains(now, owner) {
+		return w.toAgent(current, First, service, owner, source)
+	}
+
+	for rank := 1; rank < min(maxRanks, current.table.Ranks(service)); rank++ {
+		agent, _ := current.table.Ranked(service, hash, rank)
+		if !w.balancer.skips.contains(now, agent) {
+			return w.toAgent(current, FirstFurther, service, agent, source)
+		}
+	}
+
+	// All are skipped, so the owner may have recovered as well as any.
+	return w.toAgent(current, First, service, owner, source)
+}
+
+func (w *Worker) toAgent(
+	current *snapshot, reason Reason, service view.ServiceID, incarnation view.Incarnation, caller netip.AddrPort,
+) Decision {
+	agent, ok := current.view.Agent(incarnation)
+	if !ok {
+		return drop(AgentGone)
+	}
+
+	invariant.Assert(agent.Service == service, "forward: a datagram is sent only to an agent of its service",
+		slog.Int("service", int(service)), slog.Int("agent", int(incarnation)))
+
+	return Decision{
+		Action: Send, Reason: reason, To: agent.Data,
+		Header: datagram.Header{
+			Kind: datagram.Forward, Service: service, Agent: incarnation, Balancer: w.balancer.self,
+			Index: current.view.Position().Index, Caller: caller,
+		},
+	}
+}
+
+// FromAgent decides on a datagram that arrived at the data socket.
+func (w *Worker) FromAgent(now time.Time, received []byte, source netip.AddrPort) Decision {
+	return w.counters.count(w.fromAgent(now, received, source))
+}
+
+func (w *Worker) fromAgent(now time.Time, received []byte, source netip.AddrPort) Decision {
+	current := w.balancer.current.Load()
+	if current == nil {
+		return drop(NoView)
+	}
+
+	if reason := current.datagrams.Open(received, &w.header); reason != datagram.OK {
+		return drop(ofHeader[reason])
+	}
+
+	switch w.header.Kind {
+	case datagram.Reply:
+		return w.reply(current, received)
+	case datagram.Stale:
+		w.balancer.skips.add(now, w.header.Agent)
+
+		return drop(Noted)
+	case datagram.Ping:
+		return pong(&w.header, current.view.Position().Index, source)
+	case datagram.Pong:
+		return drop(Noted)
+	default:
+		return drop(WrongKind)
+	}
+}
+
+// reply accepts replies for an earlier balancer on this address and from agents
+// that the view does not have yet: the tag proves that the sender belongs to
+// the fabric, and any balancer can deliver for any agent.
+func (w *Worker) reply(current *snapshot, received []byte) Decision {
+	header := &w.header
+
+	if _, ok := current.view.Service(header.Service); !ok {
+		return drop(NoService)
+	}
+
+	if agent, ok := current.view.Agent(header.Agent); ok && agent.Service != header.Service {
+		return drop(WrongService)
+	}
+
+	if len(received) == datagram.HeaderLength || !header.Caller.IsValid() {
+		return drop(NoPayload)
+	}
+
+	return Decision{Action: Deliver, Reason: Delivered, Header: *header}
+}
+
+// pong answers a ping with the same fields.
+func pong(ping *datagram.Header, index uint64, source netip.AddrPort) Decision {
+	header := *ping
+	header.Kind = datagram.Pong
+	header.Index = index
+
+	return Decision{Action: Answer, Reason: Answered, Header: header, To: source}
+}
--- /dev/null
+++ b/internal/coordination/forward/decision.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"jayspindle/internal/protocol/datagram"
+)
+
+// Action says what the program does with a datagram.
+type Action uint8
+
+// The actions.
+const (
+	Drop    Action = iota // nothing
+	Send                  // seal the header in front of the payload and send both
+	Answer                // seal the header and send it without payload
+	Deliver               // hand the payload behind the received header to its receiver
+)
+
+// Decision is the result for one datagram. On a balancer, Deliver sends the
+// payload from a socket of Header.Service to Header.Caller. On an agent, it
+// passes the payload to QUIC as a packet from Header.Caller.
+type Decision struct {
+	Action Action
+	Reason Reason
+	Header datagram.Header
+	To     netip.AddrPort // of Send and Answer
+}
+
+// Reason says why a datagram was treated as it was. It indexes counters.
+type Reason uint8
+
+// The reasons.
+const (
+	Direct         Reason = iota // sent to the agent that the connection ID names
+	First                        // sent to the owner of the bucket
+	FirstFurther                 // sent to a further rank, since better ones are skipped
+	Delivered                    // delivered to the caller, or to QUIC
+	Answered                     // answered with a pong
+	Noted                        // a stale notice or a pong
+	NoView                       // dropped, as are all below: no view is in force
+	NoService                    // the service is not in the view
+	NoAgent                      // no agent of the service gets new flows
+	AgentGone                    // the connection ID names an agent that is not in the view
+	NotQUIC                      // the payload is not QUIC
+	NotCaller                    // a packet that only servers send, or an impossible source
+	NotFirst                     // neither a known connection ID nor a first packet
+	SourceLimited                // above the limit of first packets of the source
+	ServiceLimited               // above the limit of first packets of the service
+	HeaderShort                  // the header is cut short
+	HeaderKey                    // the header has an unknown key or format
+	HeaderTag                    // the tag of the header is wrong
+	HeaderField                  // the header has an unknown kind or flag
+	WrongKind                    // this side does not receive the kind
+	WrongService                 // the header names another service than the agent serves
+	WrongAgent                   // the header names another incarnation; answered with a stale notice
+	NoPayload                    // there is nothing behind the header
+	Reasons                      // the number of reasons
+)
+
+var reasonNames = [Reasons]string{
+	"direct", "first", "first-further", "delivered", "answered", "noted", "no-view", "no-service", "no-agent",
+	"agent-gone", "not-quic", "not-caller", "not-first", "source-limited", "service-limited", "header-short",
+	"header-key", "header-tag", "header-field", "wrong-kind", "wrong-service", "wrong-agent", "no-payload",
+}
+
+// String returns the name of the reason in metrics.
+func (r Reason) String() string {
+	if r >= Reasons {
+		return "unknown"
+	}
+
+	return reasonNames[r]
+}
+
+// ofHeader returns the reasons for headers that do not open.
+var ofHeader = [datagram.Reasons]Reason{
+	datagram.Short: HeaderShort, datagram.UnknownKey: HeaderKey,
+	datagram.BadTag: HeaderTag, datagram.BadField: HeaderField,
+}
+
+// Counts holds a number of datagrams for each reason.
+type Counts [Reasons]uint64
+
+// Counters counts decisions by reason. Each goroutine has its own, so that
+// cores do not share cache lines; reading them is safe at any time.
+type Counters struct {
+	values [Reasons]atomic.Uint64
+	_      [64]byte
+}
+
+func (c *Counters) count(decision Decision) Decision {
+	c.values[decision.Reason].Add(1)
+
+	return decision
+}
+
+// AddTo adds the counters to total.
+func (c *Counters) AddTo(total *Counts) {
+	for reason := range c.values {
+		total[reason] += c.values[reason].Load()
+	}
+}
+
+func drop(reason Reason) Decision { return Decision{Action: Drop, Reason: reason} }
--- /dev/null
+++ b/internal/coordination/forward/paths.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"jayspindle/internal/state/view"
+)
+
+const (
+	// heardTime is how long a balancer that was heard from gets replies.
+	heardTime = time.Second
+
+	// callerSlots is the number of callers whose last path is remembered, as a
+	// table without collision handling: a collision costs one choice.
+	callerSlots = 4096
+
+	// maxUnlisted bounds the balancers that are newer than the view.
+	maxUnlisted = 256
+)
+
+// path is a balancer that replies can take.
+type path struct {
+	incarnation view.Incarnation
+	address     netip.AddrPort
+	heard       int64 // Unix nanoseconds; 0 for never
+	active      bool  // in the list of active paths
+	draining    bool
+	unlisted    bool // newer than the view
+}
+
+// paths selects a balancer for each reply. It belongs to one goroutine.
+type paths struct {
+	all    []path
+	places map[view.Incarnation]int32
+	newest view.Incarnation // highest incarnation in the view
+	active []int32          // places of the paths heard from lately
+	cursor int
+	listed []int32 // places of the paths used while none is active
+	spare  int
+	last   [callerSlots]view.Incarnation
+	extras int
+}
+
+func newPaths() *paths { return &paths{places: make(map[view.Incarnation]int32)} }
+
+// apply takes the balancers of a view. What was heard from those that stay,
+// and from those that the view does not have yet, is kept.
+func (p *paths) apply(next *view.View) {
+	old, places := p.all, p.places
+	*p = paths{places: make(map[view.Incarnation]int32, len(next.Balancers())), last: p.last}
+
+	for _, agent := range next.Agents() {
+		p.newest = max(p.newest, agent.Incarnation)
+	}
+
+	for _, balancer := range next.Balancers() {
+		p.newest = max(p.newest, balancer.Incarnation)
+
+		made := path{
+			incarnation: balancer.Incarnation, address: balancer.Data,
+			draining: balancer.State == view.Draining,
+		}
+		if place, ok := places[balancer.Incarnation]; ok {
+			made.heard = old[place].heard
+		}
+
+		p.add(made)
+	}
+
+	for _, former := range old {
+		if former.unlisted && former.incarnation > p.newest {
+			former.active = false
+			p.add(former)
+		}
+	}
+
+	p.list()
+}
+
+// list selects the paths for times when no balancer was heard from.
+func (p *paths) list() {
+	for _, draining := range []bool{false, true} {
+		for place := range p.all {
+			if p.all[place].draining == draining && !p.all[place].unlisted {
+				p.listed = append(p.listed, int32(place))
+			}
+		}
+
+		if len(p.listed) > 0 {
+			return
+		}
+	}
+}
+
+func (p *paths) add(made path) {
+	place := int32(len(p.all))
+	p.all = append(p.all, made)
+	p.places[made.incarnation] = place
+
+	if made.unlisted {
+		p.extras++
+	}
+
+	if made.heard != 0 {
+		p.activate(place)
+	}
+}
+
+func (p *paths) activate(place int32) {
+	path := &p.all[place]
+	if !path.active && !path.draining {
+		path.active = true
+		p.active = append(p.active, place)
+	}
+}
+
+// hear notes a datagram from a balancer. An incarnation above all of the view
+// is a balancer that the view does not have yet; one below has left.
+func (p *paths) hear(now time.Time, balancer view.Incarnation, source netip.AddrPort) {
+	place, ok := p.places[balancer]
+	if ok {
+		p.all[place].heard = now.UnixNano()
+		p.activate(place)
+
+		return
+	}
+
+	if balancer > p.newest && p.extras < maxUnlisted {
+		p.add(path{incarnation: balancer, address: source, heard: now.UnixNano(), unlisted: true})
+	}
+}
+
+// next returns the path of a reply: of the next two paths in rotation, the one
+// heard from more recently, and not the one that the last reply to the caller
+// took, unless there is no other. A silent path soon loses every comparison.
+func (p *paths) next(now time.Time, caller uint64) (path, bool) {
+	last := &p.last[caller%callerSlots]
+
+	first, ok := p.rotate(now, *last)
+	if !ok {
+		return p.fallback(last)
+	}
+
+	second, ok := p.rotate(now, *last)
+	if ok && p.all[second].heard > p.all[first].heard {
+		first = second
+	}
+
+	*last = p.all[first].incarnation
+
+	return p.all[first], true
+}
+
+// rotate returns the place of the next active path, other than the avoided one
+// if there are several. Paths that fell silent leave the rotation.
+func (p *paths) rotate(now time.Time, avoided view.Incarnation) (int32, bool) {
+	oldest := now.Add(-heardTime).UnixNano()
+
+	for skipped := false; len(p.active) > 0; {
+		p.cursor++
+		if p.cursor >= len(p.active) {
+			p.cursor = 0
+		}
+
+		place := p.active[p.cursor]
+		path := &p.all[place]
+
+		if path.heard < oldest {
+			p.deactivate(p.cursor)
+
+			continue
+		}
+
+		if path.incarnation == avoided && len(p.active) > 1 && !skipped {
+			skipped = true
+
+			continue
+		}
+
+		return place, true
+	}
+
+	return 0, false
+}
+
+func (p *paths) deactivate(position int) {
+	final := len(p.active) - 1
+
+	p.all[p.active[position]].active = false
+	p.active[position] = p.active[final]
+	p.active = p.active[:final]
+}
+
+// fallback rotates over the balancers of the view.
+func (p *paths) fallback(last *view.Incarnation) (path, bool) {
+	if len(p.listed) == 0 {
+		return path{}, false
+	}
+
+	for range 2 {
+		p.spare = (p.spare + 1) % len(p.listed)
+
+		if p.all[p.listed[p.spare]].incarnation != *last {
+			break
+		}
+	}
+
+	chosen := p.all[p.listed[p.spare]]
+	*last = chosen.incarnation
+
+	return chosen, true
+}
