--- a/internal/coordination/raft/network_test.go
+++ b/internal/coordination/raft/network_test.go
@@ -60,6 +60,7 @@
 	floors    map[uint64]uint64 // by read: highest applied index when it was asked
 	reads     uint64
 	confirmed int
+	installs  int
 	proposed  map[uint64]bool // numbers accepted by a leader
 	committed map[uint64]int  // how often each number was applied, by first appliers
 	crash     bool            // kill hosts in the middle of handling a Ready
@@ -227,6 +228,7 @@
 	if ready.Snapshot != nil {
 		if err = h.log.SaveSnapshot(ready.Snapshot); err == nil {
 			n.restore(h, ready.Snapshot)
+			n.installs++
 		}
 	}
 
--- a/internal/state/wal/record.go
+++ b/internal/state/wal/record.go
@@ -33,10 +33,9 @@
 
 // batch is the payload of a record.
 type batch struct {
-	HardState *HardState `cbor:"1,keyasint"`
-	Entries   []Entry    `cbor:"2,keyasint"`
-	Marker    *marker    `cbor:"3,keyasint"`
-	Header    bool       `cbor:"4,keyasint"` // first record of a segment
+	HardState *HardState `cbor:"1,keyasint,omitempty"`
+	Entries   []Entry    `cbor:"2,keyasint,omitempty"`
+	Marker    *marker    `cbor:"3,keyasint,omitempty"`
 }
 
 // marker records that a snapshot was saved.
--- a/internal/state/wal/segment.go
+++ b/internal/state/wal/segment.go
@@ -90,10 +90,6 @@
 		rest := data[current.size:]
 
 		b, end, err := decodeRecord(at, rest)
-		if err == nil && b.Header != (current.size == 0) {
-			err = errors.New("segment header is missing or misplaced")
-		}
-
 		if err == nil {
 			err = l.replay.apply(b)
 		}
@@ -180,7 +176,7 @@
 	name := l.segmentPath(sequence)
 	hardState := l.replay.hardState
 
-	header := &batch{HardState: &hardState, Marker: &marker{Index: l.replay.marker}, Header: true}
+	header := &batch{HardState: &hardState, Marker: &marker{Index: l.replay.marker}}
 
 	encoded, err := encodeRecord(l.place(sequence, 0), header)
 	if err != nil {
