Apply deltas of a view without rebuilding it

Every delta rebuilt five maps and encoded all items for the digest, so one changed agent of 26,000 cost as much as a full view on every instance.

The digest now sums the hashes of single items, lookups use binary search in the sorted lists, agents are indexed by service in pages that are copied on write, and unchanged lists are shared. The digest no longer depends on whether an empty list is nil: a decoded view and a built one differed. Decode refuses two items of one key.

--- a/internal/state/view/delta.go
+++ b/internal/state/view/delta.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 
 	"github.com/juju/errors"
@@ -32,9 +31,9 @@
 		Digest:  v.DocumentDigest(),
 	}
 
-	delta.Services, delta.RemovedServices = changes(old.Services(), v.Services(), serviceKey)
-	delta.Agents, delta.RemovedAgents = changes(old.Agents(), v.Agents(), agentKey)
-	delta.Balancers, delta.RemovedBalancers = changes(old.Balancers(), v.Balancers(), balancerKey)
+	delta.Services, delta.RemovedServices = changes(old.Services(), v.Services(), serviceKey, Service.Equal)
+	delta.Agents, delta.RemovedAgents = changes(old.Agents(), v.Agents(), agentKey, equal[Agent])
+	delta.Balancers, delta.RemovedBalancers = changes(old.Balancers(), v.Balancers(), balancerKey, equal[Balancer])
 
 	if !slices.Equal(old.Keys(), v.Keys()) {
 		delta.Keys = v.Keys()
@@ -56,35 +55,93 @@
 			errors.Errorf("delta leads to %s, the view is already at %s", delta.To, v.Position()))
 	}
 
-	keys := v.Keys()
+	next := &View{contents: v.contents, byName: v.byName, byService: v.byService, sums: v.sums}
+	next.contents.Position = delta.To
+	next.contents.Version = delta.Version
+	next.contents.Digest = delta.Digest
+
 	if delta.Keys != nil {
-		keys = delta.Keys
-	}
-
-	return New(Contents{
-		Environment: v.Environment(),
-		Position:    delta.To,
-		Version:     delta.Version,
-		Digest:      delta.Digest,
-		Services:    merge(v.Services(), delta.Services, delta.RemovedServices, serviceKey),
-		Agents:      merge(v.Agents(), delta.Agents, delta.RemovedAgents, agentKey),
-		Balancers:   merge(v.Balancers(), delta.Balancers, delta.RemovedBalancers, balancerKey),
-		Keys:        keys,
-	}), nil
+		next.contents.Keys = delta.Keys
+	}
+
+	if len(delta.Services)+len(delta.RemovedServices) > 0 {
+		next.contents.Services = replace(v.Services(), delta.Services, delta.RemovedServices, serviceKey, &next.sums.services)
+		next.byName = indexNames(next.contents.Services)
+	}
+
+	if len(delta.Agents)+len(delta.RemovedAgents) > 0 {
+		next.contents.Agents = replace(v.Agents(), delta.Agents, delta.RemovedAgents, agentKey, &next.sums.agents)
+		next.byService = v.indexAfter(delta)
+	}
+
+	if len(delta.Balancers)+len(delta.RemovedBalancers) > 0 {
+		next.contents.Balancers = replace(
+			v.Balancers(), delta.Balancers, delta.RemovedBalancers, balancerKey, &next.sums.balancers)
+	}
+
+	return next, nil
+}
+
+// indexAfter returns the index of agents after the delta. An agent that moves
+// to another service is removed from its former one.
+func (v *View) indexAfter(delta Delta) *agentIndex {
+	upserted := make(map[ServiceID][]Agent)
+	removed := make(map[ServiceID][]Incarnation)
+
+	for _, agent := range delta.Agents {
+		upserted[agent.Service] = append(upserted[agent.Service], agent)
+
+		if old, ok := v.Agent(agent.Incarnation); ok && old.Service != agent.Service {
+			removed[old.Service] = append(removed[old.Service], agent.Incarnation)
+		}
+	}
+
+	for _, incarnation := range delta.RemovedAgents {
+		if old, ok := v.Agent(incarnation); ok {
+			removed[old.Service] = append(removed[old.Service], incarnation)
+		}
+	}
+
+	return v.byService.change(upserted, removed)
+}
+
+// replace merges a list and corrects the sum of its hashes.
+func replace[K cmp.Ordered, T any](items, upserted []T, removed []K, key func(T) K, sum *uint64) []T {
+	for _, item := range upserted {
+		if old, ok := find(items, key(item), key); ok {
+			*sum -= sumOf([]T{old})
+		}
+	}
+
+	for _, k := range removed {
+		if old, ok := find(items, k, key); ok {
+			*sum -= sumOf([]T{old})
+		}
+	}
+
+	*sum += sumOf(upserted)
+
+	return merge(items, upserted, removed, key)
 }
 
 func serviceKey(service Service) ServiceID      { return service.ID }
 func agentKey(agent Agent) Incarnation          { return agent.Incarnation }
 func balancerKey(balancer Balancer) Incarnation { return balancer.Incarnation }
 
+func equal[T comparable](a, b T) bool { return a == b }
+
 // changes compares two lists sorted by key and returns the items of next that
 // are new or different and the keys of old that are gone.
-func changes[K cmp.Ordered, T any](old, next []T, key func(T) K) ([]T, []K) {
+func changes[K cmp.Ordered, T any](old, next []T, key func(T) K, same func(a, b T) bool) ([]T, []K) {
 	var (
 		upserted []T
 		removed  []K
 	)
 
+	if len(old) == len(next) && (len(old) == 0 || &old[0] == &next[0]) {
+		return nil, nil // one list, shared by both views
+	}
+
 	i, j := 0, 0
 	for i < len(old) || j < len(next) {
 		switch {
@@ -95,7 +152,7 @@
 			upserted = append(upserted, next[j])
 			j++
 		default:
-			if !reflect.DeepEqual(old[i], next[j]) {
+			if !same(old[i], next[j]) {
 				upserted = append(upserted, next[j])
 			}
 
@@ -107,24 +164,44 @@
 	return upserted, removed
 }
 
-// merge returns a copy of items without the removed keys and with upserted in
-// place of the items of the same keys.
+// merge returns a copy of sorted items without the removed keys and with
+// upserted in place of the items of the same keys. It copies the stretches
+// between changes whole.
 func merge[K cmp.Ordered, T any](items, upserted []T, removed []K, key func(T) K) []T {
-	replaced := make(map[K]bool, len(upserted)+len(removed))
-	for _, item := range upserted {
-		replaced[key(item)] = true
+	type step struct {
+		key    K
+		insert bool
+		item   T
 	}
 
+	steps := make([]step, 0, len(upserted)+len(removed))
 	for _, k := range removed {
-		replaced[k] = true
+		steps = append(steps, step{key: k})
+	}
+
+	for _, item := range upserted {
+		steps = append(steps, step{key: key(item), insert: true, item: item})
 	}
 
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.key, b.key) })
+
 	merged := make([]T, 0, len(items)+len(upserted))
-	for _, item := range items {
-		if !replaced[key(item)] {
-			merged = append(merged, item)
+
+	for n, next := range steps {
+		i, found := slices.BinarySearchFunc(items, next.key, func(item T, k K) int { return cmp.Compare(key(item), k) })
+		merged = append(merged, items[:i]...)
+
+		if found {
+			i++
+		}
+
+		items = items[i:]
+
+		// The last step of a key wins, so that a key cannot enter twice.
+		if next.insert && (n+1 == len(steps) || steps[n+1].key != next.key) {
+			merged = append(merged, next.item)
 		}
 	}
 
-	return append(merged, upserted...)
+	return append(merged, items...)
 }
--- a/internal/state/view/types.go
+++ b/internal/state/view/types.go
@@ -1,8 +1,10 @@
 package view
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -93,6 +95,13 @@
 	PublicKey   []byte         `cbor:"9,keyasint" json:"public_key"` // Ed25519
 }
 
+// Equal reports whether two services are the same in every field.
+func (s Service) Equal(other Service) bool {
+	return s.ID == other.ID && s.Name == other.Name && s.Address == other.Address && s.Slots == other.Slots &&
+		s.Connections == other.Connections && s.Buckets == other.Buckets && s.Limits == other.Limits &&
+		slices.Equal(s.Classes, other.Classes) && bytes.Equal(s.PublicKey, other.PublicKey)
+}
+
 // Agent is an announced agent and, through it, one backend server.
 type Agent struct {
 	Incarnation Incarnation    `cbor:"1,keyasint" json:"incarnation"`
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -19,9 +19,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -37,15 +37,13 @@
 	Keys        []Key      `cbor:"8,keyasint"` // newest first
 }
 
-// View is the immutable state of one environment.
+// View is the immutable state of one environment. A view that Apply returns
+// shares the lists and indexes that did not change with its predecessor.
 type View struct {
-	contents   Contents
-	services   map[ServiceID]int
-	byName     map[string]int
-	agents     map[Incarnation]int
-	balancers  map[Incarnation]int
-	byService  map[ServiceID][]Agent
-	checkpoint uint64
+	contents  Contents
+	byName    map[string]ServiceID
+	byService *agentIndex
+	sums      sums
 }
 
 // New returns a view of the given contents, with its items in canonical order.
@@ -54,46 +52,25 @@
 	slices.SortFunc(contents.Agents, func(a, b Agent) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	slices.SortFunc(contents.Balancers, func(a, b Balancer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 
-	view := &View{
+	return &View{
 		contents:  contents,
-		services:  make(map[ServiceID]int, len(contents.Services)),
-		byName:    make(map[string]int, len(contents.Services)),
-		agents:    make(map[Incarnation]int, len(contents.Agents)),
-		balancers: make(map[Incarnation]int, len(contents.Balancers)),
-		byService: make(map[ServiceID][]Agent, len(contents.Services)),
+		byName:    indexNames(contents.Services),
+		byService: new(agentIndex).with(contents.Agents),
+		sums: sums{
+			services:  sumOf(contents.Services),
+			agents:    sumOf(contents.Agents),
+			balancers: sumOf(contents.Balancers),
+		},
 	}
-
-	for i, service := range contents.Services {
-		view.services[service.ID] = i
-		view.byName[service.Name] = i
-	}
-
-	for i, agent := range contents.Agents {
-		view.agents[agent.Incarnation] = i
-		view.byService[agent.Service] = append(view.byService[agent.Service], agent)
-	}
-
-	for i, balancer := range contents.Balancers {
-		view.balancers[balancer.Incarnation] = i
-	}
-
-	view.checkpoint = digest(contents)
-
-	return view
 }
 
-// digest hashes the canonical encoding of everything but the position: an
-// entry can move the position without changing an item.
-func digest(contents Contents) uint64 {
-	contents.Position = Position{}
-
-	encoded, err := canonical.Marshal(contents)
-	if err != nil {
-		// Contents consists of plain values only, so encoding cannot fail.
-		panic(err)
+func indexNames(services []Service) map[string]ServiceID {
+	names := make(map[string]ServiceID, len(services))
+	for _, service := range services {
+		names[service.Name] = service.ID
 	}
 
-	return xxhash.Sum64(encoded)
+	return names
 }
 
 // Environment returns the name of the environment, "trial" or "production".
@@ -120,52 +97,51 @@
 // Keys returns the fabric keys, newest first. The caller must not change it.
 func (v *View) Keys() []Key { return v.contents.Keys }
 
-// Digest returns the xxhash64 of the canonical encoding, without the position.
-func (v *View) Digest() uint64 { return v.checkpoint }
+// Digest returns the xxhash64 of the canonical encoding, without the position:
+// an entry can move the position without changing an item. Each list enters
+// as the sum of the hashes of its items.
+func (v *View) Digest() uint64 { return v.sums.digest(v.contents) }
 
 // Service returns the service with the given ID.
 func (v *View) Service(id ServiceID) (Service, bool) {
-	i, ok := v.services[id]
-	if !ok {
-		return Service{}, false
-	}
-
-	return v.contents.Services[i], true
+	return find(v.contents.Services, id, serviceKey)
 }
 
 // ServiceByName returns the service with the given name.
 func (v *View) ServiceByName(name string) (Service, bool) {
-	i, ok := v.byName[name]
+	id, ok := v.byName[name]
 	if !ok {
 		return Service{}, false
 	}
 
-	return v.contents.Services[i], true
+	return v.Service(id)
 }
 
 // Agent returns the agent with the given incarnation.
 func (v *View) Agent(incarnation Incarnation) (Agent, bool) {
-	i, ok := v.agents[incarnation]
-	if !ok {
-		return Agent{}, false
-	}
-
-	return v.contents.Agents[i], true
+	return find(v.contents.Agents, incarnation, agentKey)
 }
 
 // Balancer returns the balancer with the given incarnation.
 func (v *View) Balancer(incarnation Incarnation) (Balancer, bool) {
-	i, ok := v.balancers[incarnation]
+	return find(v.contents.Balancers, incarnation, balancerKey)
+}
+
+// find looks for a key in a list sorted by key.
+func find[K cmp.Ordered, T any](items []T, key K, keyOf func(T) K) (T, bool) {
+	i, ok := slices.BinarySearchFunc(items, key, func(item T, key K) int { return cmp.Compare(keyOf(item), key) })
 	if !ok {
-		return Balancer{}, false
+		var none T
+
+		return none, false
 	}
 
-	return v.contents.Balancers[i], true
+	return items[i], true
 }
 
 // AgentsOf returns the agents of a service by rising incarnation. The caller
 // must not change it.
-func (v *View) AgentsOf(service ServiceID) []Agent { return v.byService[service] }
+func (v *View) AgentsOf(service ServiceID) []Agent { return v.byService.of(service) }
 
 // MarshalBinary encodes the view as canonical CBOR.
 func (v *View) MarshalBinary() ([]byte, error) {
@@ -184,12 +160,44 @@
 		return nil, newError("decode", KindEncoding, err)
 	}
 
-	return New(contents), nil
+	view := New(contents)
+	if err := checkUnique(view.contents); err != nil {
+		return nil, newError("decode", KindEncoding, err)
+	}
+
+	return view, nil
+}
+
+// checkUnique refuses two items of one key: lookups and deltas could not tell
+// them apart.
+func checkUnique(contents Contents) error {
+	if !risesStrictly(contents.Services, serviceKey) ||
+		!risesStrictly(contents.Agents, agentKey) ||
+		!risesStrictly(contents.Balancers, balancerKey) {
+		return fmt.Errorf("two items of environment %q have the same key", contents.Environment)
+	}
+
+	return nil
+}
+
+func risesStrictly[K cmp.Ordered, T any](items []T, keyOf func(T) K) bool {
+	for i := 1; i < len(items); i++ {
+		if keyOf(items[i-1]) >= keyOf(items[i]) {
+			return false
+		}
+	}
+
+	return true
 }
 
-// canonical encodes equal contents to equal bytes, so that digests agree.
+// canonical encodes equal contents to equal bytes, so that digests agree. A
+// nil list has the form of an empty one: which of them a list is depends on
+// whether the view was decoded or built.
 var canonical = func() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+	options := cbor.CoreDetEncOptions()
+	options.NilContainers = cbor.NilContainerAsEmpty
+
+	mode, err := options.EncMode()
 	if err != nil {
 		panic(err)
 	}
