Add the catalog, the replicated state machine of the control plane

The controllers need one deterministic state for documents, signatures, members and fabric keys.

Commands are CBOR with integer keys in an envelope with a version byte. Submissions are compare-and-set on the version and answered again from a memory of 4,096 change IDs; the loser of a race gets the winner. Bytes that were rejected as a version cannot become that version again, because an acceptance signed before the rejection would count.

--- /dev/null
+++ b/internal/state/catalog/environment.go
@@ -0,0 +1,224 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+
+	"jayspindle/internal/state/view"
+)
+
+// environment holds the services, members and fabric keys of one environment.
+type environment struct {
+	name            string
+	index           uint64         // of the last entry that changed the view
+	nextService     uint32         // not assigned so far
+	nextIncarnation uint32         // not assigned so far
+	services        []view.Service // by ID
+	byName          map[string]int // places in services
+	members         map[view.Incarnation]member
+	boots           map[BootID]view.Incarnation
+	addresses       map[netip.AddrPort]view.Incarnation // by data address
+	agents          int
+	ended           ended
+	starts          starts
+	keys            []view.Key // newest first
+	rotations       uint64
+
+	current  *view.View // nil: no view was built since the start or a restore
+	affected affected
+}
+
+// affected lists what differs from the current view.
+type affected struct {
+	services map[view.ServiceID]bool
+	members  map[view.Incarnation]bool
+	keys     bool
+}
+
+func newEnvironment(name string) *environment {
+	return &environment{
+		name:            name,
+		nextService:     1,
+		nextIncarnation: 1,
+		members:         map[view.Incarnation]member{},
+		boots:           map[BootID]view.Incarnation{},
+		addresses:       map[netip.AddrPort]view.Incarnation{},
+		ended:           ended{set: map[BootID]bool{}},
+		starts:          starts{byData: map[netip.AddrPort][]int64{}},
+		affected:        newAffected(),
+	}
+}
+
+func newAffected() affected {
+	return affected{services: map[view.ServiceID]bool{}, members: map[view.Incarnation]bool{}}
+}
+
+// checkServices refuses services that cannot follow those in force.
+func (e *environment) checkServices(services []view.Service) error {
+	added := uint32(0)
+
+	for _, service := range services {
+		old, ok := e.service(service.Name)
+		if !ok {
+			added++
+
+			continue
+		}
+
+		// Agents and balancers place flows by bucket, so a new number would
+		// move the flows of a running service.
+		if old.Buckets != service.Buckets {
+			return fmt.Errorf("service %q: found %d buckets, allowed: %d, as in the version in force",
+				service.Name, service.Buckets, old.Buckets)
+		}
+	}
+
+	if e.nextService+added > math.MaxUint16+1 {
+		return fmt.Errorf("found %d new services, allowed: %d, because IDs are never reused",
+			added, math.MaxUint16+1-e.nextService)
+	}
+
+	return nil
+}
+
+func (e *environment) service(name string) (view.Service, bool) {
+	i, ok := e.byName[name]
+	if !ok {
+		return view.Service{}, false
+	}
+
+	return e.services[i], true
+}
+
+// indexServices sorts the services by ID and indexes their names.
+func (e *environment) indexServices(services []view.Service) {
+	slices.SortFunc(services, func(a, b view.Service) int { return cmp.Compare(a.ID, b.ID) })
+
+	e.services = services
+	e.byName = make(map[string]int, len(services))
+
+	for i := range services {
+		e.byName[services[i].Name] = i
+	}
+}
+
+// setServices puts services in force. A service keeps the ID that its name
+// has; members of removed services leave.
+func (e *environment) setServices(services []view.Service) {
+	next := slices.Clone(services)
+	kept := make(map[view.ServiceID]bool, len(next))
+
+	for i := range next {
+		old, ok := e.service(next[i].Name)
+		if ok {
+			next[i].ID = old.ID
+			kept[old.ID] = true
+		} else {
+			next[i].ID = view.ServiceID(e.nextService)
+			e.nextService++
+		}
+
+		if !ok || !old.Equal(next[i]) {
+			e.affected.services[next[i].ID] = true
+		}
+	}
+
+	for _, old := range e.services {
+		if !kept[old.ID] {
+			e.affected.services[old.ID] = true
+		}
+	}
+
+	for incarnation, member := range e.members {
+		if member.Role == RoleAgent && !kept[member.Service] {
+			e.remove(incarnation)
+		}
+	}
+
+	e.indexServices(next)
+}
+
+// view returns the current view, built from the last one and what is affected.
+func (e *environment) view(generation, version uint64, digest [32]byte) *view.View {
+	position := view.Position{Generation: generation, Index: e.index}
+
+	if e.current != nil && e.current.Position() == position {
+		return e.current
+	}
+
+	if e.current == nil {
+		e.current = e.build(position, version, digest)
+		e.affected = newAffected()
+
+		return e.current
+	}
+
+	next, err := e.current.Apply(e.delta(position, version, digest))
+	if err != nil {
+		panic(err) // the delta starts at the current view and the index rose
+	}
+
+	e.current = next
+	e.affected = newAffected()
+
+	return e.current
+}
+
+func (e *environment) build(position view.Position, version uint64, digest [32]byte) *view.View {
+	contents := view.Contents{
+		Environment: e.name, Position: position, Version: version, Digest: digest,
+		Services: slices.Clone(e.services), Keys: slices.Clone(e.keys),
+	}
+
+	for _, member := range e.members {
+		if member.Role == RoleAgent {
+			contents.Agents = append(contents.Agents, member.agent())
+		} else {
+			contents.Balancers = append(contents.Balancers, member.balancer())
+		}
+	}
+
+	return view.New(contents)
+}
+
+func (e *environment) delta(position view.Position, version uint64, digest [32]byte) view.Delta {
+	delta := view.Delta{From: e.current.Position(), To: position, Version: version, Digest: digest}
+
+	for id := range e.affected.services {
+		i, ok := slices.BinarySearchFunc(e.services, id, func(s view.Service, id view.ServiceID) int {
+			return cmp.Compare(s.ID, id)
+		})
+		if ok {
+			delta.Services = append(delta.Services, e.services[i])
+		} else {
+			delta.RemovedServices = append(delta.RemovedServices, id)
+		}
+	}
+
+	for _, incarnation := range slices.Sorted(maps.Keys(e.affected.members)) {
+		member, ok := e.members[incarnation]
+		_, wasAgent := e.current.Agent(incarnation)
+		_, wasBalancer := e.current.Balancer(incarnation)
+
+		switch {
+		case ok && member.Role == RoleAgent:
+			delta.Agents = append(delta.Agents, member.agent())
+		case ok:
+			delta.Balancers = append(delta.Balancers, member.balancer())
+		case wasAgent:
+			delta.RemovedAgents = append(delta.RemovedAgents, incarnation)
+		case wasBalancer:
+			delta.RemovedBalancers = append(delta.RemovedBalancers, incarnation)
+		}
+	}
+
+	if e.affected.keys {
+		delta.Keys = slices.Clone(e.keys)
+	}
+
+	return delta
+}
--- /dev/null
+++ b/internal/state/catalog/member_test.go
@@ -0,0 +1,112 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/state/view"
+)
+
+// Guards against an announcement that counts twice, serves without the
+// service key, or replaces its successor when it arrives late.
+func TestAnnounce(t *testing.T) {
+	l := newLog(t)
+	is := is.New(t)
+	l.accept(Trial, yamlOf(2, "one"))
+
+	first := l.ok(announceOf("s0", 1, 1))
+	is.Equal(first.Incarnation, view.Incarnation(1))
+	is.Equal(l.ok(announceOf("s0", 1, 1)), first) // resend
+	l.refused(KindReused, announceOf("s0", 2, 1))
+
+	forged := announceOf("s0", 3, 3)
+	forged.Announce.Service = "s1"
+	l.refused(KindSignature, forged)
+
+	second := l.ok(announceOf("s0", 1, 2))
+	is.Equal(second.Removed, []view.Incarnation{1})
+	l.refused(KindSuperseded, announceOf("s0", 1, 1)) // late duplicate of the replaced process
+
+	l.ok(Command{Expire: &Expire{Environment: Trial, Incarnations: []view.Incarnation{1, 2}}})
+	third := l.ok(announceOf("s0", 1, 2)) // an expired process may come back
+	is.Equal(third.Incarnation, view.Incarnation(3))
+	is.Equal(len(assertView(t, l.state, Trial).Agents()), 1)
+}
+
+// Guards against a crash loop that gets a full share of new flows.
+func TestFlapping(t *testing.T) {
+	l := newLog(t)
+	is := is.New(t)
+	l.accept(Trial, yamlOf(1, "one"))
+
+	weights := func(step time.Duration, boot uint64) []uint8 {
+		var all []uint8
+		for i := range uint64(3) {
+			all = append(all, l.ok(announceOf("s0", 1, boot+i)).Weight)
+			l.now = l.now.Add(step)
+		}
+
+		return all
+	}
+
+	is.Equal(weights(10*time.Second, 10), []uint8{100, 100, 1})
+	l.now = l.now.Add(time.Minute)
+	is.Equal(weights(16*time.Second, 20), []uint8{100, 100, 100})
+}
+
+// Guards against a leaving agent that gets work again, and against leaves
+// whose resend fails.
+func TestLeave(t *testing.T) {
+	l := newLog(t)
+	is := is.New(t)
+	l.accept(Trial, yamlOf(1, "one"))
+	added := l.ok(announceOf("s0", 1, 1)).Incarnation
+	leave := func(phase Phase) Command {
+		return Command{Leave: &Leave{Environment: Trial, Incarnation: added, Phase: phase}}
+	}
+	weight := func(weight uint8) Command {
+		return Command{SetWeight: &SetWeight{Environment: Trial, Incarnation: added, Weight: weight}}
+	}
+
+	l.refused(KindInvalid, weight(101))
+	is.Equal(l.ok(weight(40)).Weight, uint8(40))
+	l.ok(leave(PhaseDraining))
+	l.ok(leave(PhaseDraining))
+	l.refused(KindDraining, weight(100))
+
+	agent, _ := assertView(t, l.state, Trial).Agent(added)
+	is.Equal(agent.State, view.Draining)
+	is.Equal(agent.Weight, uint8(0))
+
+	l.ok(leave(PhaseGone))
+	l.ok(leave(PhaseGone))
+	l.refused(KindUnknownMember, leave(PhaseDraining))
+	l.refused(KindSuperseded, announceOf("s0", 1, 1))
+	is.Equal(len(assertView(t, l.state, Trial).Agents()), 0)
+}
+
+// Guards against a resend that rotates twice, which would void the key that
+// receivers still need.
+func TestRotateKey(t *testing.T) {
+	l := newLog(t)
+	is := is.New(t)
+	rotate := func(rotation uint64, secret byte) Command {
+		return Command{RotateKey: &RotateKey{Environment: Trial, Rotation: rotation, Secret: [32]byte{secret}}}
+	}
+
+	for i := range uint8(10) {
+		is.Equal(l.ok(rotate(uint64(i), i+1)).KeyID, i%keyIDs)
+		l.ok(rotate(uint64(i), i+1)) // resend
+	}
+
+	l.refused(KindInvalid, rotate(10, 0))
+	l.refused(KindReused, rotate(10, 9))
+	is.Equal(l.apply(rotate(3, 77)).Kind, KindConflict)
+
+	held := assertView(t, l.state, Trial).Keys()
+	is.Equal(len(held), 2)
+	is.Equal(held[0].Secret[0], byte(10))
+	is.Equal(held[1].Secret[0], byte(9))
+}
--- /dev/null
+++ b/internal/state/catalog/result.go
@@ -0,0 +1,72 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+
+	"jayspindle/internal/state/view"
+)
+
+// Status is the state of a change.
+type Status string
+
+// The states of a change.
+const (
+	Pending  Status = "pending"
+	Accepted Status = "accepted"
+	Rejected Status = "rejected"
+)
+
+// Winner names the change that made a submission lose its race.
+type Winner struct {
+	ChangeID string   `cbor:"1,keyasint" json:"change_id"`
+	Author   string   `cbor:"2,keyasint" json:"author"`
+	Version  uint64   `cbor:"3,keyasint" json:"version"`
+	Digest   [32]byte `cbor:"4,keyasint" json:"digest"`
+	Status   Status   `cbor:"5,keyasint" json:"status"`
+}
+
+// Result is the answer to one command. Which fields are set depends on the
+// command; Kind is empty if the command was applied or had been before.
+type Result struct {
+	Index       uint64             `cbor:"1,keyasint,omitempty"` // entry that this answer was first given for
+	Kind        Kind               `cbor:"2,keyasint,omitempty"`
+	Detail      string             `cbor:"3,keyasint,omitempty"` // reason of a refusal
+	Environment string             `cbor:"4,keyasint,omitempty"`
+	Version     uint64             `cbor:"5,keyasint,omitempty"`
+	Digest      [32]byte           `cbor:"6,keyasint"`
+	Status      Status             `cbor:"7,keyasint,omitempty"` // of the change
+	Signers     []string           `cbor:"8,keyasint,omitempty"` // owners whose signatures the change has
+	Winner      *Winner            `cbor:"9,keyasint,omitempty"` // with KindConflict
+	Incarnation view.Incarnation   `cbor:"10,keyasint,omitempty"`
+	Weight      uint8              `cbor:"11,keyasint,omitempty"`
+	Flapping    bool               `cbor:"12,keyasint,omitempty"` // the announced address restarts too often
+	Removed     []view.Incarnation `cbor:"13,keyasint,omitempty"` // replaced or expired members
+	Rotation    uint64             `cbor:"14,keyasint,omitempty"` // fabric keys rotated so far
+	KeyID       uint8              `cbor:"15,keyasint,omitempty"` // of the newest fabric key
+}
+
+// Err returns nil if the command was applied, and a *Error otherwise.
+func (r Result) Err() error {
+	if r.Kind == "" {
+		return nil
+	}
+
+	failure := newError("apply", r.Kind, errors.New(r.Detail))
+	failure.winner = r.Winner
+
+	return failure
+}
+
+// maxDetailBytes bounds the reason of a refusal, which for a document lists
+// every fault.
+const maxDetailBytes = 64 << 10
+
+func refuse(kind Kind, format string, arguments ...any) Result {
+	detail := fmt.Sprintf(format, arguments...)
+	if len(detail) > maxDetailBytes {
+		detail = detail[:maxDetailBytes] + "..."
+	}
+
+	return Result{Kind: kind, Detail: detail}
+}
