Add at-most-once claims

Cause: a non-idempotent request that is sent again through another agent must not run twice, also when memberships change between the two.

A leaving agent moves its seat with all claims to a sibling, so that planned restarts do not use up the one holder that may be lost.

--- /dev/null
+++ b/internal/coordination/claim/history.go
@@ -0,0 +1,335 @@
+package claim
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayspindle/internal/state/view"
+)
+
+// Holders is the number of holders of a key in one membership.
+const Holders = 3
+
+// Member is an agent that can hold claims.
+type Member struct {
+	Incarnation view.Incarnation `cbor:"1,keyasint"`
+	Zone        string           `cbor:"2,keyasint"`
+}
+
+// membership is the set of active agents of the service in a range of views.
+type membership struct {
+	position   view.Position // of the first view with these members
+	members    []Member      // by rising incarnation
+	replacedAt time.Time     // zero while in force
+}
+
+// History knows the memberships of a service within a window. Claims of every
+// membership in the window are counted, so that a change of membership cannot
+// split two claims of one key.
+type History struct {
+	window         time.Duration
+	maxUnconfirmed time.Duration
+	since          time.Time // the history is complete from here on
+	confirmed      time.Time // a leader confirmed the newest view
+	memberships    []membership
+	moved          map[view.Incarnation]view.Incarnation
+}
+
+// NewHistory returns an empty history for claims that are kept for the
+// retention. It becomes complete when it has observed views for the window, or
+// by Merge with the history of a sibling.
+//
+// The window is longer than the retention: an agent may use a view that nobody
+// confirmed for maxUnconfirmed, and stores keep claims for HandOverLimit longer
+// than the retention.
+func NewHistory(now time.Time, retention, maxUnconfirmed time.Duration) *History {
+	return &History{
+		window:         retention + maxUnconfirmed + 2*HandOverLimit,
+		maxUnconfirmed: maxUnconfirmed,
+		since:          now,
+		moved:          make(map[view.Incarnation]view.Incarnation),
+	}
+}
+
+// Observe applies the agents of the service from a view.
+func (h *History) Observe(now time.Time, position view.Position, agents []view.Agent) {
+	members := membersOf(agents)
+	if len(members) == 0 {
+		return
+	}
+
+	if last := len(h.memberships) - 1; last >= 0 {
+		if !h.memberships[last].position.Less(position) {
+			return
+		}
+
+		if slices.Equal(h.memberships[last].members, members) {
+			return
+		}
+
+		h.memberships[last].replacedAt = now
+	}
+
+	h.memberships = append(h.memberships, membership{position: position, members: members})
+	h.trim(now)
+}
+
+// membersOf returns the active agents, or all of them if none is active.
+func membersOf(agents []view.Agent) []Member {
+	var active, all []Member
+
+	for _, agent := range agents {
+		member := Member{Incarnation: agent.Incarnation, Zone: agent.Zone}
+		all = append(all, member)
+
+		if agent.State == view.Active {
+			active = append(active, member)
+		}
+	}
+
+	if len(active) == 0 {
+		return all
+	}
+
+	return active
+}
+
+// trim drops the memberships that were replaced before the window.
+func (h *History) trim(now time.Time) {
+	old := 0
+	for old < len(h.memberships)-1 && now.Sub(h.memberships[old].replacedAt) > h.window {
+		old++
+	}
+
+	if old == 0 {
+		return
+	}
+
+	h.memberships = slices.Delete(h.memberships, 0, old)
+
+	for seat := range h.moved {
+		if !h.knows(seat) {
+			delete(h.moved, seat)
+		}
+	}
+}
+
+// knows reports whether the seat is in any membership of the window.
+func (h *History) knows(seat view.Incarnation) bool {
+	return slices.ContainsFunc(h.memberships, func(m membership) bool {
+		return slices.ContainsFunc(m.members, func(member Member) bool { return member.Incarnation == seat })
+	})
+}
+
+// Confirm records that a leader confirmed the position of the newest view.
+func (h *History) Confirm(now time.Time) { h.confirmed = now }
+
+// Complete reports whether the history covers the window and is recent enough
+// to claim. An agent that was isolated for longer may know only memberships
+// that the others have forgotten.
+func (h *History) Complete(now time.Time) bool {
+	return len(h.memberships) > 0 && now.Sub(h.since) >= h.window && now.Sub(h.confirmed) <= h.maxUnconfirmed
+}
+
+// AssumeFirst declares that no claim exists from before. The shell may call it
+// only for the first agents of a new service.
+func (h *History) AssumeFirst(now time.Time) { h.since = now.Add(-h.window) }
+
+// Move records that another agent answers for the seat.
+func (h *History) Move(seat, successor view.Incarnation) {
+	if h.knows(seat) {
+		h.moved[seat] = successor
+	}
+}
+
+// Holder returns the agent that answers for the seat.
+func (h *History) Holder(seat view.Incarnation) view.Incarnation {
+	if successor, ok := h.moved[seat]; ok {
+		return successor
+	}
+
+	return seat
+}
+
+// Member reports whether the incarnation is in the membership in force.
+func (h *History) Member(incarnation view.Incarnation) bool {
+	if len(h.memberships) == 0 {
+		return false
+	}
+
+	return slices.ContainsFunc(h.memberships[len(h.memberships)-1].members, func(m Member) bool {
+		return m.Incarnation == incarnation
+	})
+}
+
+// Sets returns the holder sets of the key, that of the oldest membership first.
+// Equal sets appear once.
+func (h *History) Sets(now time.Time, key Key) [][]view.Incarnation {
+	h.trim(now)
+
+	var sets [][]view.Incarnation
+
+	for _, m := range h.memberships {
+		set := holdersOf(m.members, key)
+		if !slices.ContainsFunc(sets, func(other []view.Incarnation) bool { return slices.Equal(other, set) }) {
+			sets = append(sets, set)
+		}
+	}
+
+	return sets
+}
+
+// holdersOf returns the seats of the key by rendezvous hashing (Thaler and
+// Ravishankar, 1998): the best agent, then the best ones in other availability
+// zones, and then, if there are too few zones, the best of the rest.
+func holdersOf(members []Member, key Key) []view.Incarnation {
+	type scored struct {
+		Member
+		score uint64
+	}
+
+	ranked := make([]scored, 0, len(members))
+	for _, m := range members {
+		ranked = append(ranked, scored{Member: m, score: score(m.Incarnation, key)})
+	}
+
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+
+	var (
+		holders []view.Incarnation
+		rest    []view.Incarnation
+		zones   = make(map[string]bool)
+	)
+
+	for _, candidate := range ranked {
+		if zones[candidate.Zone] {
+			rest = append(rest, candidate.Incarnation)
+
+			continue
+		}
+
+		zones[candidate.Zone] = true
+		holders = append(holders, candidate.Incarnation)
+	}
+
+	holders = append(holders, rest...)
+	holders = holders[:min(len(holders), Holders)]
+	slices.Sort(holders)
+
+	return holders
+}
+
+func score(incarnation view.Incarnation, key Key) uint64 {
+	var prefix [6]byte
+
+	binary.BigEndian.PutUint32(prefix[:4], uint32(incarnation))
+	binary.BigEndian.PutUint16(prefix[4:], uint16(key.Service))
+
+	hash := xxhash.New()
+	_, _ = hash.Write(prefix[:]) // a hash never returns an error
+	_, _ = hash.WriteString(key.Token)
+
+	return hash.Sum64()
+}
+
+// Era is one membership of a Past.
+type Era struct {
+	Position view.Position `cbor:"1,keyasint"`
+	Members  []Member      `cbor:"2,keyasint"`
+	Replaced bool          `cbor:"3,keyasint"`
+	Age      time.Duration `cbor:"4,keyasint"` // since it was replaced
+}
+
+// Past is a history as it is sent to an agent that has just started.
+type Past struct {
+	Covers time.Duration                         `cbor:"1,keyasint"`
+	Eras   []Era                                 `cbor:"2,keyasint"`
+	Moved  map[view.Incarnation]view.Incarnation `cbor:"3,keyasint,omitempty"`
+}
+
+// Past returns the history for a sibling.
+func (h *History) Past(now time.Time) Past {
+	h.trim(now)
+
+	past := Past{Covers: now.Sub(h.since), Moved: h.moved}
+	for _, m := range h.memberships {
+		era := Era{Position: m.position, Members: m.members, Replaced: !m.replacedAt.IsZero()}
+		if era.Replaced {
+			era.Age = now.Sub(m.replacedAt)
+		}
+
+		past.Eras = append(past.Eras, era)
+	}
+
+	return past
+}
+
+// Merge adds the history of a sibling. Both may have seen memberships that the
+// other skipped; all of them count.
+func (h *History) Merge(now time.Time, past Past) {
+	closed := h.reaches(past.Eras)
+
+	for _, era := range past.Eras {
+		h.insert(now, era)
+	}
+
+	for seat, successor := range past.Moved {
+		if _, ok := h.moved[seat]; !ok {
+			h.Move(seat, successor)
+		}
+	}
+
+	if since := now.Add(-past.Covers); closed && since.Before(h.since) {
+		h.since = since
+	}
+
+	h.trim(now)
+}
+
+// reaches reports whether the eras of a sibling lead up to the first membership
+// observed here. Otherwise the sibling may be behind, and memberships between
+// the two histories would be missing.
+func (h *History) reaches(eras []Era) bool {
+	if len(eras) == 0 || len(h.memberships) == 0 {
+		return false
+	}
+
+	newest, oldest := eras[len(eras)-1], h.memberships[0]
+
+	return !newest.Position.Less(oldest.position) || slices.Equal(newest.Members, oldest.members)
+}
+
+func (h *History) insert(now time.Time, era Era) {
+	at, found := slices.BinarySearchFunc(h.memberships, era.Position, func(m membership, position view.Position) int {
+		switch {
+		case m.position.Less(position):
+			return -1
+		case position.Less(m.position):
+			return 1
+		default:
+			return 0
+		}
+	})
+	if found || len(era.Members) == 0 {
+		return
+	}
+
+	added := membership{position: era.Position, members: era.Members}
+	if era.Replaced {
+		added.replacedAt = now.Add(-max(era.Age, 0))
+	} else if at < len(h.memberships) {
+		added.replacedAt = now
+	}
+
+	if at > 0 && h.memberships[at-1].replacedAt.IsZero() {
+		h.memberships[at-1].replacedAt = now
+	}
+
+	h.memberships = slices.Insert(h.memberships, at, added)
+}
