--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -32,9 +32,10 @@
 
 // The groups of the help page.
 const (
-	groupPrograms = "programs"
-	groupTests    = "tests and measurements"
-	groupHelp     = "help"
+	groupPrograms  = "programs"
+	groupOperators = "operators"
+	groupTests     = "tests and measurements"
+	groupHelp      = "help"
 )
 
 // Main runs the subcommand that the arguments name and returns the exit status.
@@ -45,6 +46,9 @@
 	commander.Register(commander.HelpCommand(), groupHelp)
 	commander.Register(commander.FlagsCommand(), groupHelp)
 	commander.Register(&versionCommand{}, groupHelp)
+	commander.Register(&agentCommand{}, groupPrograms)
+	commander.Register(&balancerCommand{}, groupPrograms)
+	commander.Register(&keygenCommand{}, groupOperators)
 	commander.Register(&backendCommand{}, groupTests)
 	commander.Register(&loadCommand{}, groupTests)
 
--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -264,6 +264,17 @@
 	}
 }
 
+// TakeBack gives a claim up after a hand-over that is proven not to have run
+// the request, for example because every backend server refused it before the
+// start. The caller may then send the request again under the same key.
+func (c *Claimant) TakeBack(now time.Time) {
+	invariant.Assert(c.handedOver && c.closing == nil, "claim: only an open hand-over is taken back",
+		slog.String("key", c.key.Token))
+
+	c.handedOver = false
+	c.Abandon(now)
+}
+
 // replay ends the claim with the answer of an earlier execution. The holders
 // that did not know of it get the answer.
 func (c *Claimant) replay(now time.Time, reply Reply) {
--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -301,7 +301,7 @@
 	reset := quic.StatelessResetKey(keyring.Derive(newest, keyring.StatelessReset, len(quic.StatelessResetKey{})))
 	token := quic.TokenGeneratorKey(keyring.Derive(newest, keyring.RetryToken, len(quic.TokenGeneratorKey{})))
 	transport := &quic.Transport{
-		Conn:                  quicConn{conn},
+		Conn:                  quicConn{PacketConn: conn, buffers: conn},
 		ConnectionIDGenerator: a.ids.Load(),
 		StatelessResetKey:     &reset,
 		TokenGeneratorKey:     &token,
--- a/internal/program/agent/handler.go
+++ b/internal/program/agent/handler.go
@@ -44,7 +44,7 @@
 	ctx, span := h.tracer.Start(ctx, "agent.request", trace.WithAttributes(attribute.String("class", class.Name)))
 	defer span.End()
 
-	c, err := newCall(request, class, time.Now())
+	c, err := newCall(request, *class, time.Now())
 	if err != nil {
 		span.SetAttributes(attribute.String("reason", err.Error()))
 		refuse(response, http.StatusBadRequest, err.Error())
--- a/internal/program/agent/packetconn.go
+++ b/internal/program/agent/packetconn.go
@@ -122,6 +122,15 @@
 	}))
 }
 
-// quicConn narrows a packetConn to net.PacketConn, so that quic-go does not use
-// the methods of the embedded net.UDPConn.
-type quicConn struct{ net.PacketConn }
+// quicConn narrows a packetConn to what quic-go may use: its buffer sizes, but
+// not the other methods of the embedded net.UDPConn, which bypass the header.
+type quicConn struct {
+	net.PacketConn
+	buffers
+}
+
+// buffers sets the sizes of socket buffers in bytes.
+type buffers interface {
+	SetReadBuffer(size int) error
+	SetWriteBuffer(size int) error
+}
--- a/internal/program/agent/sibling.go
+++ b/internal/program/agent/sibling.go
@@ -207,11 +207,11 @@
 		key:      message.Key,
 	})
 
-	return forward(outcome, send)
+	return sendResult(outcome, send)
 }
 
-// forward sends a result as frames.
-func forward(outcome *result, send func(any) error) error {
+// sendResult sends a result as frames.
+func sendResult(outcome *result, send func(any) error) error {
 	first := peer.Frame{State: outcome.state, Reason: outcome.reason, Status: outcome.status, Header: outcome.header}
 	if outcome.state != peer.Answered {
 		return send(&first)
--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -83,7 +83,7 @@
 		return nil, errors.Trace(err)
 	}
 
-	transport := &quic.Transport{Conn: packetConn{spray}}
+	transport := &quic.Transport{Conn: packetConn{PacketConn: spray, buffers: spray}}
 
 	connection, err := transport.Dial(ctx, c.service, config, quicConfig)
 	if err != nil {
@@ -212,7 +212,7 @@
 	}
 
 	span.SetAttributes(attribute.Int("attempts", resent+1), attribute.Int("outcome", int(attempt.outcome)))
-	c.client.result.record(request, key, attempt, resent, time.Since(started))
+	c.client.result.record(c.workload.Service, request, key, attempt, resent, time.Since(started))
 }
 
 // attemptResult is what one attempt of a request came to.
--- a/internal/program/load/fabric.go
+++ b/internal/program/load/fabric.go
@@ -162,6 +162,15 @@
 	return n, c.service, err
 }
 
-// packetConn narrows a sprayConn to net.PacketConn, so that quic-go does not
-// find the batched methods of the embedded net.UDPConn.
-type packetConn struct{ net.PacketConn }
+// packetConn narrows a sprayConn to what quic-go may use: its buffer sizes, but
+// not the batched methods of the embedded net.UDPConn, which bypass the fabric.
+type packetConn struct {
+	net.PacketConn
+	buffers
+}
+
+// buffers sets the sizes of socket buffers in bytes.
+type buffers interface {
+	SetReadBuffer(size int) error
+	SetWriteBuffer(size int) error
+}
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -56,7 +56,8 @@
 	FeedDuplicates int64            `json:"feed_duplicates"`
 	FeedMoves      int64            `json:"feed_moves"`
 	Imbalance      float64          `json:"imbalance"` // busiest backend server over the mean
-	BackendServers map[string]int64 `json:"backend_servers"`
+	// BackendServers counts answers by service and backend server.
+	BackendServers map[string]map[string]int64 `json:"backend_servers"`
 	RunTwice       int64            `json:"run_twice"`
 	Lost           int64            `json:"lost"`     // answered, but in no ledger
 	Phantom        int64            `json:"phantom"`  // refused with "not run", but in a ledger
@@ -69,12 +70,22 @@
 
 func newResult() *Result {
 	return &Result{
-		BackendServers: make(map[string]int64),
+		BackendServers: make(map[string]map[string]int64),
 		classes:        make(map[string]*ClassResult),
 		outcomes:       make(map[string]outcome),
 	}
 }
 
+func (r *Result) backendServers(service string) map[string]int64 {
+	answers, ok := r.BackendServers[service]
+	if !ok {
+		answers = make(map[string]int64)
+		r.BackendServers[service] = answers
+	}
+
+	return answers
+}
+
 func (r *Result) class(name string) *ClassResult {
 	class, ok := r.classes[name]
 	if !ok {
@@ -86,7 +97,9 @@
 }
 
 // record counts one request after its last attempt.
-func (r *Result) record(request Request, key string, attempt attemptResult, resent int, took time.Duration) {
+func (r *Result) record(
+	service string, request Request, key string, attempt attemptResult, resent int, took time.Duration,
+) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
@@ -100,7 +113,7 @@
 
 	switch attempt.outcome {
 	case answered:
-		r.recordAnswer(class, request, attempt, took)
+		r.recordAnswer(service, class, request, attempt, took)
 	case notRun:
 		class.NotRun++
 	case unknown:
@@ -110,9 +123,11 @@
 	}
 }
 
-func (r *Result) recordAnswer(class *ClassResult, request Request, attempt attemptResult, took time.Duration) {
+func (r *Result) recordAnswer(
+	service string, class *ClassResult, request Request, attempt attemptResult, took time.Duration,
+) {
 	class.Answered++
-	r.BackendServers[request.Class+" "+attempt.backendServer]++
+	r.backendServers(service)[attempt.backendServer]++
 
 	if took > request.Deadline {
 		class.Late++
@@ -147,7 +162,10 @@
 		class.P99 = milliseconds(class.latencies.ValueAtQuantile(99))
 		class.Max = milliseconds(class.latencies.Max())
 		r.Classes = append(r.Classes, class)
-		r.Imbalance = max(r.Imbalance, r.imbalance(name))
+	}
+
+	for _, answers := range r.BackendServers {
+		r.Imbalance = max(r.Imbalance, imbalance(answers))
 	}
 
 	r.Recorded = int64(len(runs))
@@ -164,24 +182,21 @@
 	}
 }
 
-// imbalance returns the busiest backend server over the mean, for the requests
-// of one class. Backend servers without any request are not known here.
-func (r *Result) imbalance(class string) float64 {
-	var total, busiest, count int64
+// imbalance returns the busiest backend server over the mean. Backend servers
+// without any request are not known here.
+func imbalance(answers map[string]int64) float64 {
+	var total, busiest int64
 
-	for name, requests := range r.BackendServers {
-		if len(name) > len(class) && name[:len(class)+1] == class+" " {
-			total += requests
-			busiest = max(busiest, requests)
-			count++
-		}
+	for _, count := range answers {
+		total += count
+		busiest = max(busiest, count)
 	}
 
 	if total == 0 {
 		return 0
 	}
 
-	return float64(busiest) * float64(count) / float64(total)
+	return float64(busiest) * float64(len(answers)) / float64(total)
 }
 
 func milliseconds(microseconds int64) float64 {
--- /dev/null
+++ b/internal/transport/identity/service.go
@@ -0,0 +1,40 @@
+package identity
+
+import (
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// IssueService creates a key and a certificate that callers of a service see,
+// with the service's name as the DNS name, and writes both to new files. A
+// deployment whose callers trust another authority uses certificates of that.
+func (a *Authority) IssueService(service, certificatePath, keyPath string, now time.Time) error {
+	if !label.MatchString(service) {
+		return newError("issue service", KindInvalid, errors.Errorf("service %q is not a label", service))
+	}
+
+	template, err := newTemplate(service, now, InstanceValidity)
+	if err != nil {
+		return err
+	}
+
+	template.DNSNames = []string{service}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+
+	key, err := CreateKey(keyPath)
+	if err != nil {
+		return err
+	}
+
+	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return newError("issue service", KindInvalid, err)
+	}
+
+	return writeNew(certificatePath, publicMode, &pem.Block{Type: blockCertificate, Bytes: encoded})
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,69 @@
+# Functions that start and stop a small deployment of real processes on
+# loopback. Scripts source this file; it starts nothing itself.
+#
+# Every process runs in the directory $work, its id is kept in $work/NAME.pid
+# and its log in $work/NAME.log.
+
+work=${work:?the directory of the deployment}
+binary=${binary:?the program}
+zones=(kokura yahata moji)
+
+# start NAME ARGUMENTS...: starts a subcommand in the background.
+start() {
+	local name=$1
+	shift
+	(cd "$work" && exec "$binary" "$@" >>"$name.out" 2>>"$name.log") &
+	echo $! >"$work/$name.pid"
+}
+
+# pid NAME: prints the process id.
+pid() { cat "$work/$1.pid"; }
+
+# signal NAME SIGNAL: sends a signal to one process of the deployment.
+signal() { kill -"$2" "$(pid "$1")" 2>/dev/null || true; }
+
+# stop_all: ends all processes of the deployment, with patience first.
+stop_all() {
+	local file waited
+	for file in "$work"/*.pid; do
+		kill -CONT "$(cat "$file")" 2>/dev/null || true
+		kill -TERM "$(cat "$file")" 2>/dev/null || true
+	done
+	for waited in {1..30}; do
+		alive || return 0
+		sleep 0.1
+	done
+	for file in "$work"/*.pid; do
+		kill -KILL "$(cat "$file")" 2>/dev/null || true
+	done
+	return 0
+}
+
+# alive: reports whether a process of the deployment still runs.
+alive() {
+	local file
+	for file in "$work"/*.pid; do
+		[[ -e $file ]] && kill -0 "$(cat "$file")" 2>/dev/null && return 0
+	done
+	return 1
+}
+
+# derive TEMPLATE OLD-NAME NEW-NAME OLD-HOST NEW-HOST ZONE: prints the settings
+# of another instance of the same kind.
+derive() {
+	sed -e "s/\b$2\b/$3/g" -e "s/\b${4//./\\.}:/$5:/g" -e "s/listen_host: .*/listen_host: $5/" \
+		-e "s/zone: kokura/zone: $6/" "$1"
+}
+
+# await SECONDS COMMAND...: repeats a command until it succeeds.
+await() {
+	local tries=$(($1 * 10))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		((tries-- > 0)) || return 1
+		sleep 0.1
+	done
+}
+
+# ready ADDRESS: asks the health check of a debug address.
+ready() { curl -fsS --max-time 1 "http://$1/healthz"; }
