--- /dev/null
+++ b/internal/transport/identity/error.go
@@ -0,0 +1,39 @@
+package identity
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindInvalid     Kind = "invalid"     // a value or a file's content is not allowed
+	KindFile        Kind = "file"        // a file cannot be read or written
+	KindPermissions Kind = "permissions" // group or others can access a private key file
+	KindDenied      Kind = "denied"      // a peer is not accepted
+)
+
+// Error is the error type of this package. It never contains a secret.
+type Error struct {
+	operation string
+	kind      Kind
+	err       error
+}
+
+func newError(operation string, kind Kind, err error) *Error {
+	return &Error{operation: operation, kind: kind, err: err}
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("identity: %s: %s: %v", e.operation, e.kind, e.err)
+}
+
+// Operation returns the operation that failed.
+func (e *Error) Operation() string { return e.operation }
+
+// Kind returns the kind of the error.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
