Add the messages of the control links

Membership, watch and operator messages need one definition with bounds, so that no handler checks sizes again and no peer exhausts a controller.

Each message is a plain struct with integer keys and a Check. The types are independent of the catalog's commands.

--- /dev/null
+++ b/internal/protocol/control/change.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"fmt"
+	"time"
+)
+
+// Decision is what an owner signs about a change.
+type Decision string
+
+// The decisions.
+const (
+	Accept Decision = "accept"
+	Refuse Decision = "reject"
+)
+
+// SignedText returns the text that an owner signs. Environment, version and
+// digest (SHA-256 of the document) are all in it, so that a signature cannot
+// be replayed for another change.
+func SignedText(environment string, version uint64, digest []byte, decision Decision) []byte {
+	return fmt.Appendf(nil, "jayspindle change\n%s\n%d\n%x\n%s\n", environment, version, digest, decision)
+}
+
+// Submit proposes a document as version Base+1.
+type Submit struct {
+	Environment string `cbor:"1,keyasint"`
+	Base        uint64 `cbor:"2,keyasint"`
+	ChangeID    string `cbor:"3,keyasint"` // chosen by the author; a resend gets the first reply
+	Author      string `cbor:"4,keyasint"`
+	Document    []byte `cbor:"5,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (s *Submit) Check() error {
+	return check("submit").
+		name("environment", s.Environment).
+		that(s.ChangeID != "", "change ID is empty").
+		optional("change ID", s.ChangeID, MaxChangeID).
+		name("author", s.Author).
+		that(len(s.Document) > 0 && len(s.Document) <= MaxDocument,
+			"document has %d bytes, 1 to %d are allowed", len(s.Document), MaxDocument).
+		err
+}
+
+// Sign accepts the pending change with an owner's signature over SignedText.
+type Sign struct {
+	Environment string `cbor:"1,keyasint"`
+	Version     uint64 `cbor:"2,keyasint"`
+	Digest      []byte `cbor:"3,keyasint"`
+	Owner       string `cbor:"4,keyasint"`
+	Signature   []byte `cbor:"5,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (s *Sign) Check() error {
+	return check("sign").
+		name("environment", s.Environment).
+		exactly("digest", s.Digest, digestBytes).
+		name("owner", s.Owner).
+		exactly("signature", s.Signature, signatureBytes).
+		err
+}
+
+// Reject ends the pending change without effect.
+type Reject struct {
+	Environment string `cbor:"1,keyasint"`
+	Version     uint64 `cbor:"2,keyasint"`
+	Digest      []byte `cbor:"3,keyasint"`
+	Owner       string `cbor:"4,keyasint"`
+	Reason      string `cbor:"5,keyasint,omitempty"`
+	Signature   []byte `cbor:"6,keyasint"` // over SignedText with Refuse
+}
+
+// Check reports the first field out of bounds.
+func (r *Reject) Check() error {
+	return check("reject").
+		name("environment", r.Environment).
+		exactly("digest", r.Digest, digestBytes).
+		name("owner", r.Owner).
+		optional("reason", r.Reason, MaxReason).
+		exactly("signature", r.Signature, signatureBytes).
+		err
+}
+
+// Promote submits the bytes accepted in trial to production.
+type Promote struct {
+	Base     uint64 `cbor:"1,keyasint"` // version in force in production
+	Digest   []byte `cbor:"2,keyasint"` // accepted in trial
+	ChangeID string `cbor:"3,keyasint"`
+	Author   string `cbor:"4,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (p *Promote) Check() error {
+	return check("promote").
+		exactly("digest", p.Digest, digestBytes).
+		that(p.ChangeID != "", "change ID is empty").
+		optional("change ID", p.ChangeID, MaxChangeID).
+		name("author", p.Author).
+		err
+}
+
+// ChangeState is the state of a change.
+type ChangeState string
+
+// The states of a change. A conflict leaves the state of the winner in force.
+const (
+	StatePending  ChangeState = "pending"
+	StateAccepted ChangeState = "accepted"
+	StateRejected ChangeState = "rejected"
+	StateConflict ChangeState = "conflict"
+	StateInvalid  ChangeState = "invalid"
+)
+
+// Change describes one version of an environment's document.
+type Change struct {
+	Version  uint64      `cbor:"1,keyasint"`
+	ChangeID string      `cbor:"2,keyasint"`
+	Author   string      `cbor:"3,keyasint"`
+	Digest   []byte      `cbor:"4,keyasint"`
+	State    ChangeState `cbor:"5,keyasint"`
+	Signers  []string    `cbor:"6,keyasint,omitempty"`
+	Reason   string      `cbor:"7,keyasint,omitempty"`
+	Time     time.Time   `cbor:"8,keyasint"` // stamped by the leader
+}
+
+func (c *Change) limits(l *limits) *limits {
+	return l.
+		optional("change ID", c.ChangeID, MaxChangeID).
+		optional("author", c.Author, MaxName).
+		that(len(c.Digest) == 0 || len(c.Digest) == digestBytes, "digest has %d bytes", len(c.Digest)).
+		optional("state", string(c.State), MaxName).
+		atMost("signers", len(c.Signers), MaxSigners).
+		optional("reason", c.Reason, MaxReason)
+}
+
+// ChangeReply is the reply to Submit, Sign, Reject and Promote.
+type ChangeReply struct {
+	State   ChangeState `cbor:"1,keyasint"`
+	Change  Change      `cbor:"2,keyasint"`           // the caller's change; of a conflict, the one that won
+	Message string      `cbor:"3,keyasint,omitempty"` // why a change is invalid or conflicts
+	Leader  string      `cbor:"4,keyasint,omitempty"` // name of the controller that answered
+}
+
+// Check reports the first field out of bounds.
+func (c *ChangeReply) Check() error {
+	return c.Change.limits(check("change reply")).
+		optional("state", string(c.State), MaxName).
+		optional("message", c.Message, MaxDocument).
+		optional("leader", c.Leader, MaxName).
+		err
+}
+
+// ReplaceOwner replaces an owner's key. Both owners sign it, the one to be
+// replaced with the old key.
+type ReplaceOwner struct {
+	Owner      string   `cbor:"1,keyasint"`
+	PublicKey  []byte   `cbor:"2,keyasint"`
+	ChangeID   string   `cbor:"3,keyasint"`
+	Signers    []string `cbor:"4,keyasint"`
+	Signatures [][]byte `cbor:"5,keyasint"` // over SignedText, in the order of Signers
+}
+
+// Check reports the first field out of bounds.
+func (r *ReplaceOwner) Check() error {
+	limits := check("replace owner").
+		name("owner", r.Owner).
+		exactly("public key", r.PublicKey, publicKeyBytes).
+		that(r.ChangeID != "", "change ID is empty").
+		optional("change ID", r.ChangeID, MaxChangeID).
+		atMost("signers", len(r.Signers), MaxSigners).
+		that(len(r.Signers) == len(r.Signatures), "%d signers with %d signatures", len(r.Signers), len(r.Signatures))
+
+	for _, signer := range r.Signers {
+		limits.name("signer", signer)
+	}
+
+	for _, signature := range r.Signatures {
+		limits.exactly("signature", signature, signatureBytes)
+	}
+
+	return limits.err
+}
+
+// SignedText returns the text that both owners sign.
+func (r *ReplaceOwner) SignedText() []byte {
+	return fmt.Appendf(nil, "jayspindle owner\n%s\n%x\n%s\n", r.Owner, r.PublicKey, r.ChangeID)
+}
+
+// ReplaceOwnerReply states the result.
+type ReplaceOwnerReply struct {
+	State   ChangeState `cbor:"1,keyasint"`
+	Message string      `cbor:"2,keyasint,omitempty"`
+	Leader  string      `cbor:"3,keyasint,omitempty"`
+}
+
+// Check reports the first field out of bounds.
+func (r *ReplaceOwnerReply) Check() error {
+	return check("replace owner reply").
+		optional("state", string(r.State), MaxName).
+		optional("message", r.Message, MaxReason).
+		optional("leader", r.Leader, MaxName).
+		err
+}
--- /dev/null
+++ b/internal/protocol/control/operator.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"jayspindle/internal/state/view"
+)
+
+// Status asks for the state of an environment and of the controller group.
+type Status struct {
+	Environment string `cbor:"1,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (s *Status) Check() error { return check("status").name("environment", s.Environment).err }
+
+// StatusReply is read from the leader.
+type StatusReply struct {
+	Environment string        `cbor:"1,keyasint"`
+	Leader      string        `cbor:"2,keyasint"`
+	Term        uint64        `cbor:"3,keyasint"`
+	Position    view.Position `cbor:"4,keyasint"`
+	Version     uint64        `cbor:"5,keyasint"` // in force
+	Digest      []byte        `cbor:"6,keyasint"` // of the document in force
+	Pending     *Change       `cbor:"7,keyasint,omitempty"`
+	Services    uint32        `cbor:"8,keyasint"`
+	Agents      uint32        `cbor:"9,keyasint"`
+	Balancers   uint32        `cbor:"10,keyasint"`
+	// InForce counts the instances that reported the position, or a later one,
+	// with their last renewal.
+	InForce uint32 `cbor:"11,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (s *StatusReply) Check() error {
+	limits := check("status reply").
+		optional("environment", s.Environment, MaxName).
+		optional("leader", s.Leader, MaxName).
+		that(len(s.Digest) == 0 || len(s.Digest) == digestBytes, "digest has %d bytes", len(s.Digest))
+	if s.Pending != nil {
+		limits = s.Pending.limits(limits)
+	}
+
+	return limits.err
+}
+
+// History asks for the newest changes of an environment.
+type History struct {
+	Environment string `cbor:"1,keyasint"`
+	Limit       uint16 `cbor:"2,keyasint"` // at most MaxHistory
+}
+
+// Check reports the first field out of bounds.
+func (h *History) Check() error {
+	return check("history").
+		name("environment", h.Environment).
+		that(h.Limit <= MaxHistory, "limit is %d, at most %d is allowed", h.Limit, MaxHistory).
+		err
+}
+
+// HistoryReply lists changes, newest first.
+type HistoryReply struct {
+	Changes []Change `cbor:"1,keyasint"`
+	Leader  string   `cbor:"2,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (h *HistoryReply) Check() error {
+	limits := check("history reply").
+		atMost("changes", len(h.Changes), MaxHistory).
+		optional("leader", h.Leader, MaxName)
+
+	for i := range h.Changes {
+		limits = h.Changes[i].limits(limits)
+	}
+
+	return limits.err
+}
+
+// Explain asks why the controller is in its present state.
+type Explain struct {
+	Environment string `cbor:"1,keyasint"`
+	Topic       string `cbor:"2,keyasint"` // a service, an incarnation or a change ID
+}
+
+// Check reports the first field out of bounds.
+func (e *Explain) Check() error {
+	return check("explain").name("environment", e.Environment).optional("topic", e.Topic, MaxTopic).err
+}
+
+// ExplainReply is text for people.
+type ExplainReply struct {
+	Lines  []string `cbor:"1,keyasint"`
+	Leader string   `cbor:"2,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (e *ExplainReply) Check() error {
+	return check("explain reply").
+		atMost("lines", len(e.Lines), MaxLines).
+		optional("leader", e.Leader, MaxName).
+		err
+}
+
+// MembersAction is what Members does.
+type MembersAction string
+
+// The actions on the controller group. Membership changes one at a time.
+const (
+	MembersList    MembersAction = "list"
+	MembersAdd     MembersAction = "add" // as a learner
+	MembersPromote MembersAction = "promote"
+	MembersRemove  MembersAction = "remove"
+)
+
+// Member is one controller.
+type Member struct {
+	Replica uint64         `cbor:"1,keyasint"` // identity of the replica's data directory
+	Name    string         `cbor:"2,keyasint"`
+	Address netip.AddrPort `cbor:"3,keyasint"`
+	Voter   bool           `cbor:"4,keyasint"`
+	Match   uint64         `cbor:"5,keyasint,omitempty"` // log index known to be stored
+}
+
+// Members lists or changes the controller group.
+type Members struct {
+	Action MembersAction `cbor:"1,keyasint"`
+	Member Member        `cbor:"2,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (m *Members) Check() error {
+	list := m.Action == MembersList
+
+	return check("members").
+		that(list || m.Action == MembersAdd || m.Action == MembersPromote || m.Action == MembersRemove,
+			"action is %q", m.Action).
+		that(list || m.Member.Replica != 0, "replica is 0").
+		that(m.Action != MembersAdd || m.Member.Address.IsValid(), "address is %s", m.Member.Address).
+		optional("name", m.Member.Name, MaxName).
+		err
+}
+
+// MembersReply lists the controllers after the action.
+type MembersReply struct {
+	Members []Member `cbor:"1,keyasint"`
+	Leader  string   `cbor:"2,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (m *MembersReply) Check() error {
+	return check("members reply").
+		atMost("members", len(m.Members), MaxMembers).
+		optional("leader", m.Leader, MaxName).
+		err
+}
+
+// RotateKey asks for a new fabric key. The leader creates the secret.
+type RotateKey struct {
+	Environment string `cbor:"1,keyasint"`
+	ChangeID    string `cbor:"2,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (r *RotateKey) Check() error {
+	return check("rotate key").
+		name("environment", r.Environment).
+		that(r.ChangeID != "", "change ID is empty").
+		optional("change ID", r.ChangeID, MaxChangeID).
+		err
+}
+
+// RotateKeyReply states the key in use, without its secret.
+type RotateKeyReply struct {
+	KeyID  uint8     `cbor:"1,keyasint"`
+	Time   time.Time `cbor:"2,keyasint"`
+	Leader string    `cbor:"3,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (r *RotateKeyReply) Check() error {
+	return check("rotate key reply").optional("leader", r.Leader, MaxName).err
+}
+
+// Replicate carries one message of the replicated log between controllers.
+type Replicate struct {
+	Message []byte `cbor:"1,keyasint"`
+}
+
+// Check reports the first field out of bounds.
+func (r *Replicate) Check() error {
+	return check("replicate").
+		that(len(r.Message) > 0 && len(r.Message) <= MaxReplicate,
+			"message has %d bytes, 1 to %d are allowed", len(r.Message), MaxReplicate).
+		err
+}
