Add mutually authenticated QUIC links between processes

Controllers, balancers, agents and operators need calls and server streams over IP numbers that survive a device on the path that loses its state.

Each call uses one QUIC stream of length-prefixed CBOR frames. A silent path is noticed within 3 s (keep-alive 0.8 s, idle timeout 2 s), and a new socket to the same address is tried before the peer counts as gone.

--- /dev/null
+++ b/internal/transport/link/link.go
@@ -0,0 +1,87 @@
+// Package link connects the processes of the system by mutually authenticated
+// QUIC (RFC 9000), addressed by IP number.
+//
+// # Usage
+//
+// A server registers its methods and serves until its context ends:
+//
+//	server, err := link.Listen(address, link.ServerOptions{Identity: store, Accept: policy, Logger: logger})
+//	server.Handle("submit", func(ctx context.Context, request *link.Request) (any, error) {
+//		var submit control.Submit
+//		if err := request.Decode(&submit); err != nil {
+//			return nil, err
+//		}
+//		// link.Peer(ctx) is the authenticated caller.
+//		return reply, nil
+//	})
+//	err = server.Serve(ctx)
+//
+// A client dials on first use, over several addresses in turn, and follows
+// redirects to the leader:
+//
+//	client := link.Dial(link.ClientOptions{Addresses: addresses, Identity: store, Accept: policy, Random: random})
+//	err := client.Call(ctx, "submit", submit, &reply)
+//	stream, err := client.Stream(ctx, "watch", watch)
+//	err = stream.Next(&update)
+//
+// Each call and each stream uses one QUIC stream of length-prefixed CBOR
+// (RFC 8949) frames of at most MaxFrame bytes. A handler's error crosses the
+// link with its kind, message and redirect.
+//
+// # Liveness
+//
+// Both ends send keep-alives. A path that is silent for SilenceLimit is given
+// up; the client then tries a new socket to the same address at once. If that
+// succeeds, only the old path was silent (KindSilent, a device on the path may
+// have lost its state). If it fails, the peer counts as gone (KindGone) and the
+// next address is tried.
+package link
+
+import (
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	// MaxFrame is the largest frame in bytes. A document of 1 MiB and its
+	// envelope fit.
+	MaxFrame = 2 << 20
+
+	// SilenceLimit is the time within which a silent path is noticed. An idle
+	// timeout starts anew at the first keep-alive sent after the last packet
+	// received, so the limit is keepAlivePeriod + idleTimeout and a margin.
+	SilenceLimit = 3 * time.Second
+
+	keepAlivePeriod = 800 * time.Millisecond
+	idleTimeout     = 2 * time.Second
+
+	// handshakeTimeout bounds the wait for a packet during a handshake; the
+	// whole handshake takes at most twice that.
+	handshakeTimeout = time.Second
+
+	// maxStreams bounds the calls and streams in progress on one connection.
+	maxStreams = 1024
+
+	// maxConnectionWindow and maxStreamWindow bound what a connection buffers.
+	maxConnectionWindow = 4 * MaxFrame
+	maxStreamWindow     = MaxFrame
+)
+
+// The application error codes of the QUIC connection and its streams.
+const (
+	codeClosed   = 0
+	codeCanceled = 1
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:       handshakeTimeout,
+		MaxIdleTimeout:             idleTimeout,
+		KeepAlivePeriod:            keepAlivePeriod,
+		MaxIncomingStreams:         maxStreams,
+		MaxIncomingUniStreams:      -1,
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
+	}
+}
