Add the distribution of views with deltas, repair and relays

Views must reach every instance within seconds, never revert, and stay within a few kilobytes a second per node, over relays that lag or lose updates.

Heartbeats carry position, digest and the age of the leader's confirmation, which adds up over relays without synchronised clocks.

--- /dev/null
+++ b/internal/coordination/rollout/follower.go
@@ -0,0 +1,200 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/invariant"
+	"jayspindle/internal/state/view"
+)
+
+// Follower decides what a subscriber does with each update. It is not safe for
+// concurrent use.
+type Follower struct {
+	environment string
+	current     *view.View
+	confirmedAt time.Time
+	// whole asks for a full view, because the one held proved wrong.
+	whole    bool
+	assembly assembly
+}
+
+// assembly collects the chunks of one full view.
+type assembly struct {
+	position view.Position
+	digest   uint64
+	chunks   uint16
+	next     uint16
+	bytes    []byte
+}
+
+// NewFollower returns a follower that holds a view already, or nil.
+func NewFollower(environment string, current *view.View) *Follower {
+	return &Follower{environment: environment, current: current}
+}
+
+// View returns the view held, nil before the first.
+func (f *Follower) View() *view.View { return f.current }
+
+// ConfirmedAt returns when a leader last confirmed the view held.
+func (f *Follower) ConfirmedAt() time.Time { return f.confirmedAt }
+
+// Confirmed reports whether a leader has confirmed the view recently enough.
+func (f *Follower) Confirmed(now time.Time) bool {
+	return !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= ConfirmationLimit
+}
+
+// Watch starts a new subscription and returns its request.
+func (f *Follower) Watch() control.Watch {
+	f.assembly = assembly{}
+
+	watch := control.Watch{Environment: f.environment}
+	if f.current != nil && !f.whole {
+		watch.Position, watch.Digest = f.current.Position(), f.current.Digest()
+	}
+
+	return watch
+}
+
+// Handle applies an update and reports whether View has changed. After an
+// error the caller subscribes again.
+func (f *Follower) Handle(now time.Time, update control.Update) (bool, error) {
+	switch update.Kind {
+	case control.UpdateHeartbeat:
+		return false, f.heartbeat(now, update)
+	case control.UpdateDelta:
+		return f.delta(update)
+	case control.UpdateFull:
+		return f.full(update)
+	default:
+		return false, newError("handle", KindEncoding, errors.Errorf("update has kind %d", update.Kind))
+	}
+}
+
+func (f *Follower) heartbeat(now time.Time, update control.Update) error {
+	if f.current == nil || f.current.Position().Less(update.Position) {
+		return newError("check heartbeat", KindGap,
+			errors.Errorf("the publisher is at %s, the subscriber at %s", update.Position, f.position()))
+	}
+
+	// The upstream is stale; it says nothing about the view held.
+	if update.Position.Less(f.current.Position()) {
+		return nil
+	}
+
+	if update.Digest != f.current.Digest() {
+		f.whole = true
+
+		return newError("check heartbeat", KindDigest,
+			errors.Errorf("digest at %s is %016x, the publisher's is %016x",
+				update.Position, f.current.Digest(), update.Digest))
+	}
+
+	if at := now.Add(-update.Age); update.Confirmed && at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+
+	return nil
+}
+
+func (f *Follower) delta(update control.Update) (bool, error) {
+	if f.current != nil && !f.current.Position().Less(update.Position) {
+		return false, nil
+	}
+
+	if f.current == nil {
+		return false, newError("apply delta", KindGap, errors.New("the subscriber holds no view"))
+	}
+
+	var delta view.Delta
+	if err := cbor.Unmarshal(update.Bytes, &delta); err != nil {
+		f.whole = true
+
+		return false, newError("apply delta", KindEncoding, err)
+	}
+
+	next, err := f.current.Apply(delta)
+	if err != nil {
+		return false, newError("apply delta", KindGap, err)
+	}
+
+	return f.replace(next, update)
+}
+
+func (f *Follower) full(update control.Update) (bool, error) {
+	if f.current != nil && !f.wants(update) {
+		return false, nil
+	}
+
+	if update.Chunk == 0 {
+		f.assembly = assembly{position: update.Position, digest: update.Digest, chunks: update.Chunks}
+	}
+
+	part := &f.assembly
+	if part.position != update.Position || part.digest != update.Digest ||
+		part.chunks != update.Chunks || part.next != update.Chunk {
+		return false, newError("assemble view", KindGap,
+			errors.Errorf("chunk is %d at %s, expected is %d at %s", update.Chunk, update.Position, part.next, part.position))
+	}
+
+	part.next++
+	part.bytes = append(part.bytes, update.Bytes...)
+
+	if part.next < part.chunks {
+		return false, nil
+	}
+
+	next, err := view.Decode(part.bytes)
+	f.assembly = assembly{}
+
+	if err != nil {
+		return false, newError("assemble view", KindEncoding, err)
+	}
+
+	return f.replace(next, update)
+}
+
+// wants reports whether a full view is newer than the one held or repairs it.
+func (f *Follower) wants(update control.Update) bool {
+	if update.Position == f.current.Position() {
+		return update.Digest != f.current.Digest()
+	}
+
+	return f.current.Position().Less(update.Position)
+}
+
+// replace puts a view into force after a check against what the publisher
+// stated about it.
+func (f *Follower) replace(next *view.View, update control.Update) (bool, error) {
+	if next.Environment() != f.environment {
+		return false, newError("replace view", KindEnvironment,
+			errors.Errorf("the view is of %q instead of %q", next.Environment(), f.environment))
+	}
+
+	if next.Position() != update.Position || next.Digest() != update.Digest {
+		f.whole = true
+
+		return false, newError("replace view", KindDigest,
+			errors.Errorf("view has %016x at %s, the publisher's has %016x at %s",
+				next.Digest(), next.Position(), update.Digest, update.Position))
+	}
+
+	if f.current != nil {
+		invariant.Assert(!next.Position().Less(f.current.Position()), "rollout: the applied position never falls")
+	}
+
+	f.current, f.whole = next, false
+
+	return true, nil
+}
+
+func (f *Follower) position() view.Position {
+	if f.current == nil {
+		return view.Position{}
+	}
+
+	return f.current.Position()
+}
