--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -155,13 +155,13 @@
 		return refusal(e.id, ReasonQueue)
 	}
 
-	c.queue = append(c.queue, e)
+	c.add(e)
 
 	if len(c.queue) == 1 && s.choose() == c {
 		return s.startHead(now, c)
 	}
 
-	if now.Add(s.wait(c)).After(c.startBy(e)) {
+	if now.Add(s.wait(c)).After(c.startBy(e.deadline)) {
 		c.remove(e)
 
 		return refusal(e.id, ReasonDeadline)
@@ -198,10 +198,12 @@
 	var wake time.Time
 
 	for _, c := range s.classes {
-		for _, e := range c.queue {
-			if by := c.startBy(e).Add(time.Nanosecond); wake.IsZero() || by.Before(wake) {
-				wake = by
-			}
+		if len(c.queue) == 0 {
+			continue
+		}
+
+		if by := c.startBy(c.soonest).Add(time.Nanosecond); wake.IsZero() || by.Before(wake) {
+			wake = by
 		}
 	}
 
--- a/internal/coordination/admission/class.go
+++ b/internal/coordination/admission/class.go
@@ -31,7 +31,8 @@
 // class is the state of one class of the service.
 type class struct {
 	settings view.Class
-	queue    []*entry // first come first served
+	queue    []*entry  // first come first served
+	soonest  time.Time // no waiting request has an earlier deadline
 	running  int
 	service  estimate
 	credit   time.Duration // slot time that the minimum share still grants
@@ -50,28 +51,42 @@
 	c.credit = min(max(c.credit, -maxCredit), upper)
 }
 
+// add appends a request to the queue.
+func (c *class) add(e *entry) {
+	if len(c.queue) == 0 || e.deadline.Before(c.soonest) {
+		c.soonest = e.deadline
+	}
+
+	c.queue = append(c.queue, e)
+}
+
 // startBy returns the latest start that leaves time for the service. Half of
 // the deadline is always allowed for waiting, because an estimate that grew
 // too high would otherwise refuse everything and never be corrected.
-func (c *class) startBy(e *entry) time.Time {
-	return e.deadline.Add(-min(c.service.likely(), c.settings.Deadline/2))
+func (c *class) startBy(deadline time.Time) time.Time {
+	return deadline.Add(-min(c.service.likely(), c.settings.Deadline/2))
 }
 
 // expire removes the waiting requests that cannot meet their deadline.
 func (c *class) expire(now time.Time) []*entry {
+	if len(c.queue) == 0 || !now.After(c.startBy(c.soonest)) {
+		return nil
+	}
+
 	var expired []*entry
 
-	kept := c.queue[:0]
-	for _, e := range c.queue {
-		if now.After(c.startBy(e)) {
+	waiting := c.queue
+	c.queue = c.queue[:0]
+
+	for _, e := range waiting {
+		if now.After(c.startBy(e.deadline)) {
 			expired = append(expired, e)
 		} else {
-			kept = append(kept, e)
+			c.add(e)
 		}
 	}
 
-	clear(c.queue[len(kept):])
-	c.queue = kept
+	clear(waiting[len(c.queue):])
 
 	return expired
 }
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -20,10 +20,8 @@
 // are, and no report from a backend server is needed. Own observation corrects
 // the round robin:
 //
-//   - Own requests in flight count against a sibling, so that slower siblings
-//     get less. The correction is bounded for siblings of equal speed.
-//   - A sibling that holds far more own requests than the others is passed
-//     over until they end, so a hung backend server gets a bounded number.
+//   - Own requests in flight count against a sibling, so that a slower one gets
+//     less and a hung one only a few.
 //   - A sibling that refused is passed over for a moment.
 //   - A sibling that fails several times in a row is ejected for a while and
 //     then returns on a ramp. At most a fixed part of the siblings is ejected.
@@ -43,11 +41,6 @@
 )
 
 const (
-	// inFlightFactor and inFlightSlack bound the own requests at a sibling in
-	// relation to the mean over the siblings.
-	inFlightFactor = 3
-	inFlightSlack  = 4
-
 	// maxLag bounds, in requests, how far a sibling can fall behind or run ahead
 	// of its share. With 1, siblings of equal speed stay within 1.022 of the
 	// mean, and slower ones can get less; with 4, a sibling of half the speed
@@ -66,7 +59,6 @@
 	random   *rand.Rand
 	siblings []*sibling
 	known    map[view.Incarnation]*sibling
-	inFlight int
 	pass     float64 // mean pass of the siblings
 }
 
@@ -83,10 +75,9 @@
 // Update applies the agents of the service from a view. Siblings of the first
 // call count as warm: a new picker cannot tell how long they have been running.
 func (p *Picker) Update(now time.Time, agents []view.Agent) {
-	first := len(p.known) == 0
+	first := len(p.siblings) == 0
 	known := make(map[view.Incarnation]*sibling, len(agents))
 	p.siblings = p.siblings[:0]
-	p.inFlight = 0
 
 	for _, agent := range agents {
 		s, ok := p.known[agent.Incarnation]
@@ -109,7 +100,14 @@
 
 		known[agent.Incarnation] = s
 		p.siblings = append(p.siblings, s)
-		p.inFlight += s.inFlight
+	}
+
+	// Requests at a sibling that left still end.
+	for incarnation, s := range p.known {
+		if known[incarnation] == nil && s.inFlight > 0 {
+			s.weight = 0
+			known[incarnation] = s
+		}
 	}
 
 	p.known = known
@@ -118,10 +116,10 @@
 // Pick returns the sibling that runs the next request, and false if there is
 // none. Excluded siblings are not picked.
 func (p *Picker) Pick(now time.Time, excluded ...view.Incarnation) (view.Incarnation, bool) {
-	picked := p.pick(now, excluded, p.available)
+	picked := p.pick(now, excluded, false)
 	if picked == nil {
-		// Everything is paused or crowded: spread the pressure evenly.
-		picked = p.pick(now, excluded, func(time.Time, *sibling) bool { return true })
+		// Every sibling has refused: spread the pressure evenly.
+		picked = p.pick(now, excluded, true)
 	}
 
 	if picked == nil {
@@ -129,14 +127,13 @@
 	}
 
 	picked.inFlight++
-	p.inFlight++
 
 	return picked.incarnation, true
 }
 
-// pick takes the sibling with the lowest pass among those that may get the
-// request, with own requests in flight counted on top.
-func (p *Picker) pick(now time.Time, excluded []view.Incarnation, may func(time.Time, *sibling) bool) *sibling {
+// pick takes the sibling with the lowest pass, with own requests in flight
+// counted on top. Paused siblings take part only if the caller says so.
+func (p *Picker) pick(now time.Time, excluded []view.Incarnation, paused bool) *sibling {
 	var (
 		picked *sibling
 		best   float64
@@ -144,7 +141,11 @@
 	)
 
 	for _, s := range p.siblings {
-		if s.weight <= 0 || s.ejected(now) || slices.Contains(excluded, s.incarnation) || !may(now, s) {
+		if s.weight <= 0 || s.ejected(now) || slices.Contains(excluded, s.incarnation) {
+			continue
+		}
+
+		if !paused && now.Before(s.pausedUntil) {
 			continue
 		}
 
@@ -166,15 +167,6 @@
 	return picked
 }
 
-// available reports whether the own observation of the sibling allows more.
-func (p *Picker) available(now time.Time, s *sibling) bool {
-	if now.Before(s.pausedUntil) {
-		return false
-	}
-
-	return s.inFlight*len(p.siblings) <= inFlightFactor*p.inFlight+inFlightSlack*len(p.siblings)
-}
-
 // Observe records how a request that Pick placed has ended.
 func (p *Picker) Observe(now time.Time, incarnation view.Incarnation, outcome Outcome) {
 	s, ok := p.known[incarnation]
@@ -183,7 +175,6 @@
 	}
 
 	s.inFlight--
-	p.inFlight--
 	invariant.Assert(s.inFlight >= 0, "placement: no more requests end than were placed",
 		slog.Uint64("incarnation", uint64(incarnation)))
 
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,216 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/coordination/placement"
+	"jayspindle/internal/state/view"
+	"jayspindle/internal/testing/soak"
+)
+
+var start = time.Unix(1000, 0)
+
+func siblings(count int) []view.Agent {
+	agents := make([]view.Agent, count)
+	for i := range agents {
+		agents[i] = view.Agent{Incarnation: view.Incarnation(i + 1), Weight: view.MaxWeight, State: view.Active}
+	}
+
+	return agents
+}
+
+func newPicker(agents []view.Agent) *placement.Picker {
+	picker := placement.New(placement.DefaultPolicy(), 1)
+	picker.Update(start, agents)
+
+	return picker
+}
+
+// spread places requests that end at once and returns how many each sibling got.
+func spread(
+	p *placement.Picker, now time.Time, count int, end func(view.Incarnation) placement.Outcome,
+) map[view.Incarnation]int {
+	placed := make(map[view.Incarnation]int)
+
+	for range count {
+		if incarnation, ok := p.Pick(now); ok {
+			placed[incarnation]++
+			p.Observe(now, incarnation, end(incarnation))
+		}
+	}
+
+	return placed
+}
+
+func answer(view.Incarnation) placement.Outcome { return placement.Answered }
+
+func failing(from, to view.Incarnation) func(view.Incarnation) placement.Outcome {
+	return func(incarnation view.Incarnation) placement.Outcome {
+		if incarnation >= from && incarnation <= to {
+			return placement.Failed
+		}
+
+		return placement.Answered
+	}
+}
+
+// TestSpread guards against siblings that get more than their share, with as
+// many siblings as the largest service may have.
+func TestSpread(t *testing.T) {
+	for _, count := range []int{1, 3, 7, 400} {
+		is := is.New(t)
+		placed := spread(newPicker(siblings(count)), start, 50*count, answer)
+		is.Equal(len(placed), count)
+
+		for _, requests := range placed {
+			is.True(requests >= 48 && requests <= 52)
+		}
+	}
+}
+
+// TestMembership guards against new work for agents that drain, have weight
+// zero, are excluded or have left.
+func TestMembership(t *testing.T) {
+	is := is.New(t)
+	agents := siblings(5)
+	agents[0].State = view.Draining
+	agents[1].Weight = 0
+	picker := newPicker(agents)
+	placed := spread(picker, start, 100, answer)
+	is.Equal(placed[1]+placed[2], 0)
+
+	left, ok := picker.Pick(start, 3, 4)
+	is.True(ok)
+	is.Equal(left, view.Incarnation(5))
+	picker.Update(start, agents[:4])
+	picker.Observe(start, left, placement.Answered) // its sibling is gone
+
+	_, ok = picker.Pick(start, 3, 4)
+	is.True(!ok)
+}
+
+// TestRamp guards against a cold backend server that gets a full share at once
+// and one that never gets it.
+func TestRamp(t *testing.T) {
+	is := is.New(t)
+	picker := newPicker(siblings(4))
+	spread(picker, start, 100, answer)
+	picker.Update(start, siblings(5))
+
+	early := spread(picker, start.Add(time.Second), 410, answer)[5]
+	is.True(early >= 5 && early <= 15) // a tenth of a full share
+
+	half := spread(picker, start.Add(5*time.Second), 450, answer)[5]
+	is.True(half >= 45 && half <= 55)
+
+	full := spread(picker, start.Add(11*time.Second), 500, answer)[5]
+	is.True(full >= 95 && full <= 105)
+}
+
+// TestEjection guards against work that goes on failing, and against an
+// ejected backend server that returns at once with a full share.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	picker := newPicker(siblings(4))
+	spread(picker, start, 100, failing(1, 1))
+	is.Equal(picker.Ejected(start), 1)
+	is.Equal(spread(picker, start.Add(4*time.Second), 100, answer)[1], 0)
+
+	back := spread(picker, start.Add(5*time.Second), 310, answer)[1]
+	is.True(back >= 5 && back <= 15)
+}
+
+// TestEjectionAgain guards against a backend server that stays broken and gets
+// a full round of failures after each ejection.
+func TestEjectionAgain(t *testing.T) {
+	is := is.New(t)
+	picker := newPicker(siblings(4))
+	spread(picker, start, 100, failing(1, 1))
+
+	back := start.Add(5 * time.Second)
+	is.Equal(spread(picker, back, 100, failing(1, 1))[1], 1)
+	is.Equal(spread(picker, back.Add(9*time.Second), 100, answer)[1], 0) // twice as long
+	is.True(spread(picker, back.Add(10*time.Second), 100, answer)[1] > 0)
+}
+
+// TestEjectionLimit guards against a service without backend servers when all
+// of them seem to fail.
+func TestEjectionLimit(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 7, 300} {
+		is := is.New(t)
+		picker := newPicker(siblings(count))
+		spread(picker, start, 20*count, failing(1, view.Incarnation(count)))
+		is.Equal(picker.Ejected(start), count/2)
+		is.Equal(len(spread(picker, start, 20*count, answer)), count-count/2)
+	}
+}
+
+// TestHung guards against a backend server that answers nothing and collects
+// the requests of its siblings.
+func TestHung(t *testing.T) {
+	is := is.New(t)
+	picker := newPicker(siblings(4))
+	hung := 0
+
+	for range 1000 {
+		incarnation, _ := picker.Pick(start)
+		if incarnation == 1 {
+			hung++
+		} else {
+			picker.Observe(start, incarnation, placement.Answered)
+		}
+	}
+
+	is.True(hung > 0 && hung <= 8)
+}
+
+// TestRefusal guards against requests for a sibling that has just refused, and
+// against no request at all when every sibling refuses.
+func TestRefusal(t *testing.T) {
+	is := is.New(t)
+	picker := newPicker(siblings(3))
+	picked, _ := picker.Pick(start)
+	picker.Observe(start, picked, placement.Refused)
+	is.Equal(spread(picker, start, 50, answer)[picked], 0)
+	is.True(spread(picker, start.Add(time.Second), 50, answer)[picked] > 0)
+
+	refuse := func(view.Incarnation) placement.Outcome { return placement.Refused }
+	is.Equal(len(spread(picker, start, 30, refuse)), 3)
+}
+
+// TestRandom guards against contradictions in the counts of requests in flight
+// while hundreds of siblings join, leave and fail. The picker asserts them.
+func TestRandom(t *testing.T) {
+	soak.Run(t, 10, func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 0))
+		agents := siblings(300)
+		picker := newPicker(agents)
+
+		var flying []view.Incarnation
+
+		for i := range 5000 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+
+			if random.IntN(50) == 0 {
+				random.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+				picker.Update(now, agents[:1+random.IntN(len(agents))])
+			}
+
+			picked, ok := picker.Pick(now)
+			is.True(ok) // active siblings are left, whatever fails
+			flying = append(flying, picked)
+
+			if random.IntN(3) > 0 {
+				ended := random.IntN(len(flying))
+				picker.Observe(now, flying[ended], placement.Outcome(1+random.IntN(4)))
+				flying[ended] = flying[len(flying)-1]
+				flying = flying[:len(flying)-1]
+			}
+		}
+	})
+}
