Survive a key rotation that instances apply at different times

Cause: a sender with a newer view sealed with a key that receivers one view behind did not have, so a planned rotation lost datagrams between them.

Change: senders seal with the predecessor of the newest key, and receivers of datagrams accept the newest three instead of two. Connection IDs are sealed in the same way and opened with every key of the view. A view has to keep at least three keys once it has rotated.

--- a/internal/protocol/connid/connid.go
+++ b/internal/protocol/connid/connid.go
@@ -47,8 +47,8 @@
 // be allocated on the heap for each call through the cipher's interface.
 type Scratch [aes.BlockSize]byte
 
-// Keys seals connection IDs with the newest fabric key and opens them with
-// every key of the view, so that an ID is valid for as long as the catalog
+// Keys seals connection IDs with the predecessor of the newest fabric key (see
+// keyring) and opens them with every key of the view, so that an ID is valid for as long as the catalog
 // keeps its key. It is immutable and safe for concurrent use.
 type Keys struct {
 	ring *keyring.Ring[cipher.Block]
@@ -70,7 +70,7 @@
 // Seal writes a connection ID to the first Length bytes of buffer. Only the
 // low 48 bits of the nonce are used.
 func (k *Keys) Seal(buffer []byte, service view.ServiceID, incarnation view.Incarnation, nonce uint64) {
-	marker, block := k.ring.Newest()
+	marker, block := k.ring.Sealing()
 	buffer = buffer[:Length]
 	buffer[0] = marker
 
--- a/internal/protocol/datagram/datagram.go
+++ b/internal/protocol/datagram/datagram.go
@@ -58,9 +58,10 @@
 	HeaderLength = 48
 )
 
-// acceptedKeys is the number of fabric keys a receiver accepts: the newest and
-// its predecessor, because instances apply a rotation at different times.
-const acceptedKeys = 2
+// acceptedKeys is the number of fabric keys that a receiver accepts. With one
+// less, a receiver that applied a rotation early would drop what a sender one
+// view behind has sealed.
+const acceptedKeys = 3
 
 // Header is the decoded form of a header.
 type Header struct {
@@ -109,8 +110,8 @@
 // secret is a SipHash key.
 type secret struct{ k0, k1 uint64 }
 
-// Keys seals with the newest fabric key and opens with the newest two. It is
-// immutable and safe for concurrent use.
+// Keys seals with the predecessor of the newest fabric key and opens with the
+// newest three. It is immutable and safe for concurrent use.
 type Keys struct {
 	ring *keyring.Ring[secret]
 }
@@ -132,7 +133,7 @@
 
 // Seal writes the header to the first HeaderLength bytes of buffer.
 func (k *Keys) Seal(buffer []byte, header *Header) {
-	marker, key := k.ring.Newest()
+	marker, key := k.ring.Sealing()
 	buffer = buffer[:HeaderLength]
 
 	buffer[offsetMarker] = marker
--- a/internal/protocol/keyring/keyring.go
+++ b/internal/protocol/keyring/keyring.go
@@ -3,11 +3,15 @@
 //
 // # Usage
 //
-//	ring, err := keyring.New(current.Keys(), 2, func(key view.Key) (secret, error) {
+//	ring, err := keyring.New(current.Keys(), 3, func(key view.Key) (secret, error) {
 //		return expand(keyring.Derive(key, keyring.Datagram, 16))
 //	})
-//	marker, newest := ring.Newest() // to protect
-//	known := ring.Find(firstByte)   // to verify; nil for an unknown key
+//	marker, sealing := ring.Sealing() // to protect
+//	known := ring.Find(firstByte)     // to verify; nil for an unknown key
+//
+// Instances apply a rotation at different times. Senders therefore seal with
+// the predecessor of the newest key, which a receiver one rotation behind knows
+// too, and receivers accept the key before that from senders that are behind.
 //
 // The marker byte holds the format in its two high bits and the key ID modulo
 // 64 in the others. A Ring is immutable, so goroutines share it without locks.
@@ -72,7 +76,8 @@
 		keys = keys[:limit]
 	}
 
-	ring := &Ring[T]{marker: Marker(keys[0].ID)}
+	sealing := keys[min(1, len(keys)-1)]
+	ring := &Ring[T]{marker: Marker(sealing.ID)}
 
 	for _, key := range keys {
 		slot := key.ID & idMask
@@ -94,8 +99,8 @@
 	return ring, nil
 }
 
-// Newest returns the marker and the item of the newest key.
-func (r *Ring[T]) Newest() (byte, *T) { return r.marker, r.slots[r.marker&idMask] }
+// Sealing returns the marker and the item of the key to protect with.
+func (r *Ring[T]) Sealing() (byte, *T) { return r.marker, r.slots[r.marker&idMask] }
 
 // Find returns the item that a marker names, or nil if the format or the key
 // is not known.
