Give every balancer its share of replies

Cause: the choice between two paths moved the rotation on by two, so the same paths met each time and one of each pair could get no replies at all.

Change: the second path of a choice is the first of the next.

--- a/internal/coordination/forward/agent.go
+++ b/internal/coordination/forward/agent.go
@@ -151,7 +151,7 @@
 	}, chosen.address, true
 }
 
-// Seal writes a header with the newest key of the view in force. A view must
+// Seal writes a header with the key of the view in force. A view must
 // have been applied.
 func (a *Agent) Seal(buffer []byte, header *datagram.Header) {
 	a.mutex.Lock()
--- a/internal/coordination/forward/balancer.go
+++ b/internal/coordination/forward/balancer.go
@@ -194,7 +194,7 @@
 	counters Counters
 }
 
-// Seal writes a header with the newest key of the view in force.
+// Seal writes a header with the key of the view in force.
 func (w *Worker) Seal(buffer []byte, header *datagram.Header) {
 	w.balancer.current.Load().datagrams.Seal(buffer, header)
 }
--- a/internal/coordination/forward/paths.go
+++ b/internal/coordination/forward/paths.go
@@ -142,7 +142,12 @@
 		return p.fallback(last)
 	}
 
+	// The second path is the first of the next reply. Moving on by two would pair
+	// the same paths for ever.
+	position := p.cursor
 	second, ok := p.rotate(now, *last)
+	p.cursor = position
+
 	if ok && p.all[second].heard > p.all[first].heard {
 		first = second
 	}
