Measure flows and replies under planned changes

Cause: the promise that planned changes break no flow needs a proof on seeded schedules, and a comparison with the usual methods.

--- /dev/null
+++ b/internal/testing/measure/flows.go
@@ -0,0 +1,244 @@
+// Package measure runs seeded scenarios in simulated time and returns typed
+// figures.
+//
+// # Usage
+//
+//	result, err := measure.Flows(measure.FlowsConfig{
+//		Seed: 1, Balancers: 24, Services: 20, Agents: 120, Flows: 1500, Steps: 60, Lag: 8,
+//	})
+//	fmt.Println(result.BrokenByConnectionID, result.BrokenByModulo)
+package measure
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/coordination/routing"
+	"jayspindle/internal/protocol/connid"
+	"jayspindle/internal/state/view"
+)
+
+// FlowsConfig describes a run of planned changes while flows are open.
+type FlowsConfig struct {
+	Seed      uint64
+	Balancers int
+	Services  int
+	Agents    int // in total
+	Flows     int // open at a time
+	Steps     int // of 500 ms, each with one planned change
+	Lag       int // steps that the view of an instance may be behind
+}
+
+// FlowsResult counts what happened to flows and datagrams. A flow is broken
+// when a packet of it reaches another agent than the one that accepted it.
+type FlowsResult struct {
+	Opened  int
+	Packets int // of established flows, from callers
+
+	BrokenByConnectionID   int // the method of this system
+	BrokenByConsistentHash int // the same table, by the hash of the 4-tuple
+	BrokenByModulo         int // hash of the 4-tuple modulo the number of agents
+
+	SplitFlights    int // Initial flights of two datagrams that reached two agents
+	RecoveredSplits int // of these, completed by a retransmission
+	Retransmissions int // rounds needed in total
+	PacketsLost     int // to a balancer that does not yet know the flow's agent
+	RepliesLost     int // sent to a balancer that has stopped
+
+	Injected     int // forged, replayed and misdirected datagrams
+	Refusals     int // of these, dropped or answered with a stale notice
+	WrongService int // datagrams delivered to another service
+}
+
+const (
+	flowsStep       = 500 * time.Millisecond
+	maxRetransmits  = 8
+	flowEndsPercent = 2 // of the flows in each step
+)
+
+// flow is an open flow and the agents that own it under each method.
+type flow struct {
+	service view.ServiceID
+	caller  netip.AddrPort
+	packet  []byte // of the established flow, with the connection ID of the agent
+
+	owner, hashed, modulo   view.Incarnation
+	lost, lostHash, lostMod bool
+}
+
+// Flows runs one schedule of planned changes: agents join, drain and change
+// weight, balancers join and leave, fabric keys rotate and addresses are
+// reused, while every instance applies views at its own pace.
+func Flows(config FlowsConfig) (FlowsResult, error) {
+	world := newFlowsWorld(config)
+
+	for step := range config.Steps {
+		if step > 0 {
+			world.change()
+		}
+
+		if err := world.advance(); err != nil {
+			return FlowsResult{}, err
+		}
+
+		world.endFlows()
+
+		for len(world.flows) < config.Flows {
+			world.open()
+		}
+
+		for _, flow := range world.flows {
+			world.exchange(flow)
+		}
+
+		world.inject()
+	}
+
+	return world.result, nil
+}
+
+// open performs the Initial flight of a flow, of one or two datagrams. Agents
+// do not answer half a ClientHello, so a split one is sent again as a whole.
+func (w *flowsWorld) open() {
+	service := w.services[w.random.IntN(len(w.services))].ID
+	opened := &flow{service: service, caller: w.caller()}
+	packet := w.initial()
+
+	datagrams := 1 + w.random.IntN(2)
+	received := make(map[view.Incarnation]int) // a bit for each datagram
+	split := false
+
+	for round := range maxRetransmits {
+		for i := range datagrams {
+			if agent := w.sendFirst(opened, packet); agent != nil {
+				received[agent.incarnation] |= 1 << i
+				if received[agent.incarnation] == 1<<datagrams-1 && opened.owner == 0 {
+					opened.owner = agent.incarnation
+				}
+			}
+		}
+
+		if round == 0 && len(received) > 1 {
+			split = true
+			w.result.SplitFlights++
+		}
+
+		if opened.owner != 0 {
+			break
+		}
+
+		w.result.Retransmissions++
+	}
+
+	if opened.owner == 0 {
+		return
+	}
+
+	if split {
+		w.result.RecoveredSplits++
+	}
+
+	w.establish(opened)
+}
+
+// establish gives the flow its connection ID and its owners under the methods
+// that are compared.
+func (w *flowsWorld) establish(opened *flow) {
+	owner := w.agents[opened.owner]
+
+	// The generator's function never fails.
+	id, _ := owner.generator.GenerateConnectionID()
+	opened.packet = append([]byte{shortHeader}, id.Bytes()...)
+	opened.packet = append(opened.packet, make([]byte, 20)...)
+
+	current := w.pickBalancer().table()
+	opened.hashed, _ = current.Owner(opened.service, tupleHash(opened))
+	opened.modulo = moduloOwner(current.View(), opened)
+
+	w.flows = append(w.flows, opened)
+	w.result.Opened++
+}
+
+// exchange sends one packet of an established flow and a reply to it.
+func (w *flowsWorld) exchange(f *flow) {
+	w.result.Packets++
+
+	balancer := w.pickBalancer()
+	w.compare(balancer.table(), f)
+
+	decision := balancer.worker.FromCaller(w.now, f.service, f.packet, f.caller)
+	if decision.Action != forward.Send {
+		w.result.PacketsLost++
+
+		return
+	}
+
+	agent := w.deliver(balancer, decision)
+	if agent == nil || agent.incarnation != f.owner {
+		w.result.BrokenByConnectionID += once(&f.lost)
+
+		return
+	}
+
+	w.reply(agent, f)
+}
+
+// compare counts the flow as broken under a method when the balancer's view
+// leads its packet to another agent.
+func (w *flowsWorld) compare(table *routing.Table, f *flow) {
+	if owner, _ := table.Owner(f.service, tupleHash(f)); owner != f.hashed {
+		w.result.BrokenByConsistentHash += once(&f.lostHash)
+	}
+
+	if moduloOwner(table.View(), f) != f.modulo {
+		w.result.BrokenByModulo += once(&f.lostMod)
+	}
+}
+
+// once returns 1 the first time it is called for a flag.
+func once(flag *bool) int {
+	if *flag {
+		return 0
+	}
+
+	*flag = true
+
+	return 1
+}
+
+// tupleHash hashes the 4-tuple; the service stands for its address.
+func tupleHash(f *flow) uint64 {
+	bytes := make([]byte, 0, 24)
+	address := f.caller.Addr().As16()
+	bytes = append(bytes, address[:]...)
+	bytes = binary.BigEndian.AppendUint16(bytes, f.caller.Port())
+	bytes = binary.BigEndian.AppendUint16(bytes, uint16(f.service))
+
+	return routing.Hash(bytes)
+}
+
+// moduloOwner is the agent at the hash modulo the number of eligible agents.
+func moduloOwner(current *view.View, f *flow) view.Incarnation {
+	var eligible []view.Incarnation
+
+	for _, agent := range current.AgentsOf(f.service) {
+		if agent.State == view.Active && agent.Weight > 0 {
+			eligible = append(eligible, agent.Incarnation)
+		}
+	}
+
+	if len(eligible) == 0 {
+		return 0
+	}
+
+	return eligible[tupleHash(f)%uint64(len(eligible))]
+}
+
+const (
+	shortHeader   = 0x40
+	longHeader    = 0xc0
+	initialLength = 1200
+	dcidLength    = connid.Length + 1 // differs from the length of an agent's
+)
