--- a/internal/coordination/forward/agent.go
+++ b/internal/coordination/forward/agent.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"jayspindle/internal/protocol/datagram"
-	"jayspindle/internal/state/invariant"
 	"jayspindle/internal/state/view"
 )
 
@@ -122,9 +120,7 @@
 }
 
 func (a *Agent) deliver() Decision {
-	invariant.Assert(a.header.Service == a.service && a.header.Agent == a.self,
-		"forward: a datagram is delivered only to its service and agent",
-		slog.Int("service", int(a.header.Service)), slog.Int("agent", int(a.header.Agent)))
+	assertService(a.header.Service == a.service && a.header.Agent == a.self, a.header.Service, a.header.Agent)
 
 	return Decision{Action: Deliver, Reason: Delivered, Header: a.header}
 }
--- a/internal/coordination/forward/balancer.go
+++ b/internal/coordination/forward/balancer.go
@@ -24,7 +24,6 @@
 package forward
 
 import (
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,7 +36,6 @@
 	"jayspindle/internal/coordination/routing"
 	"jayspindle/internal/protocol/connid"
 	"jayspindle/internal/protocol/datagram"
-	"jayspindle/internal/state/invariant"
 	"jayspindle/internal/state/view"
 )
 
@@ -271,16 +269,15 @@
 func (w *Worker) toAgent(
 	current *snapshot, reason Reason, service view.ServiceID, incarnation view.Incarnation, caller netip.AddrPort,
 ) Decision {
-	agent, ok := current.view.Agent(incarnation)
+	served, address, ok := current.table.Agent(incarnation)
 	if !ok {
 		return drop(AgentGone)
 	}
 
-	invariant.Assert(agent.Service == service, "forward: a datagram is sent only to an agent of its service",
-		slog.Int("service", int(service)), slog.Int("agent", int(incarnation)))
+	assertService(served == service, service, incarnation)
 
 	return Decision{
-		Action: Send, Reason: reason, To: agent.Data,
+		Action: Send, Reason: reason, To: address,
 		Header: datagram.Header{
 			Kind: datagram.Forward, Service: service, Agent: incarnation, Balancer: w.balancer.self,
 			Index: current.view.Position().Index, Caller: caller,
@@ -329,7 +326,7 @@
 		return drop(NoService)
 	}
 
-	if agent, ok := current.view.Agent(header.Agent); ok && agent.Service != header.Service {
+	if served, _, ok := current.table.Agent(header.Agent); ok && served != header.Service {
 		return drop(WrongService)
 	}
 
--- a/internal/coordination/forward/decision.go
+++ b/internal/coordination/forward/decision.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"log/slog"
 	"net/netip"
 	"sync/atomic"
 
 	"jayspindle/internal/protocol/datagram"
+	"jayspindle/internal/state/invariant"
+	"jayspindle/internal/state/view"
 )
 
 // Action says what the program does with a datagram.
@@ -104,3 +107,13 @@
 }
 
 func drop(reason Reason) Decision { return Decision{Action: Drop, Reason: reason} }
+
+// assertService asserts that a datagram goes to an agent of its service. The
+// attributes are made only for a violation, since they would be allocated for
+// each datagram.
+func assertService(ok bool, service view.ServiceID, agent view.Incarnation) {
+	if !ok {
+		invariant.Assert(false, "forward: a datagram reaches only its service and agent",
+			slog.Int("service", int(service)), slog.Int("agent", int(agent)))
+	}
+}
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -34,6 +34,7 @@
 type Table struct {
 	view     *view.View
 	services []*buckets // by service ID; nil for an unknown service
+	index    index
 	rebuilt  int
 }
 
@@ -52,7 +53,7 @@
 		length = int(services[len(services)-1].ID) + 1
 	}
 
-	table := &Table{view: next, services: make([]*buckets, length)}
+	table := &Table{view: next, services: make([]*buckets, length), index: newIndex(next.Agents())}
 
 	for i := range services {
 		service := &services[i]
--- a/internal/coordination/routing/table_test.go
+++ b/internal/coordination/routing/table_test.go
@@ -180,6 +180,23 @@
 	})
 }
 
+// Guards against an index that misses an agent or returns another one.
+func TestAgent(t *testing.T) {
+	for _, agents := range []int{0, 1, 11, 1000} {
+		current := fleet(3, agents, nil)
+		table := routing.New(current)
+
+		for incarnation := range view.Incarnation(agents + 100) {
+			want, known := current.Agent(incarnation)
+			service, address, ok := table.Agent(incarnation)
+
+			is.New(t).Equal(ok, known)
+			is.New(t).Equal(service, want.Service)
+			is.New(t).Equal(address, want.Data)
+		}
+	}
+}
+
 var sizes = []struct{ services, agents int }{{7, 27}, {419, 1625}, {1675, 6500}, {3350, 13000}, {6700, 26000}}
 
 // BenchmarkBuild reports the full build; the allocated bytes are the memory
@@ -229,6 +246,22 @@
 	}
 }
 
+// BenchmarkAgent is the look-up for a packet of an established flow.
+func BenchmarkAgent(b *testing.B) {
+	for _, size := range sizes {
+		table := routing.New(fleet(size.services, size.agents, nil))
+		random := rand.New(rand.NewPCG(1, 0))
+
+		b.Run(fmt.Sprintf("%d-services-%d-agents", size.services, size.agents), func(b *testing.B) {
+			b.ReportAllocs()
+
+			for b.Loop() {
+				table.Agent(view.Incarnation(1 + random.Uint64()%uint64(size.agents)))
+			}
+		})
+	}
+}
+
 func BenchmarkHash(b *testing.B) {
 	dcid := make([]byte, 17)
 
