--- a/internal/coordination/raft/election.go
+++ b/internal/coordination/raft/election.go
@@ -1,6 +1,11 @@
 package raft
 
-import "jayspindle/internal/state/wal"
+import (
+	"log/slog"
+
+	"jayspindle/internal/state/invariant"
+	"jayspindle/internal/state/wal"
+)
 
 // campaign starts a pre-vote, or an election at once when the leader asked for
 // it. A replica that is no voter only waits.
@@ -117,19 +122,17 @@
 }
 
 func (n *Node) becomeLeader() {
+	invariant.Assert(n.termLeader == 0, "raft: one leader a term",
+		slog.Uint64("term", n.term), slog.Any("leader", n.termLeader), slog.Any("other", n.config.Replica))
+
 	n.role = Leader
-	n.followSelf()
+	n.leader, n.termLeader = n.config.Replica, n.config.Replica
 	n.progress = make(map[ReplicaID]*progress)
 	n.syncProgress()
 	n.heartbeatDue = n.now
 	n.appendOwn(wal.EntryEmpty, nil)
 }
 
-func (n *Node) followSelf() {
-	n.leader = n.config.Replica
-	n.termLeader = n.config.Replica
-}
-
 // tickLeader steps down without a quorum, so that clients of an isolated leader
 // learn soon that it can't commit, and sends heartbeats.
 func (n *Node) tickLeader() {
--- a/internal/coordination/raft/network_test.go
+++ b/internal/coordination/raft/network_test.go
@@ -281,6 +281,8 @@
 
 // post puts a message on the wire through the codec.
 func (n *network) post(message raft.Message) {
+	n.expect(len(message.Entries) <= 7, "message with %d entries", len(message.Entries))
+
 	encoded, err := raft.EncodeMessage(&message)
 	n.check(err)
 
--- a/internal/coordination/raft/raft.go
+++ b/internal/coordination/raft/raft.go
@@ -119,6 +119,12 @@
 	setDefault(&c.PromoteLag, 64)
 	setDefault(&c.ChunkBytes, 256<<10)
 
+	// Receivers refuse more, whatever the sender is configured to.
+	c.MaxAppendEntries = min(c.MaxAppendEntries, MaxMessageEntries)
+	c.MaxProposalBytes = min(c.MaxProposalBytes, MaxMessageBytes/2)
+	c.MaxAppendBytes = min(c.MaxAppendBytes, MaxMessageBytes/2)
+	c.ChunkBytes = min(c.ChunkBytes, MaxMessageBytes/2)
+
 	return c
 }
 
--- a/internal/coordination/raft/snapshot.go
+++ b/internal/coordination/raft/snapshot.go
@@ -1,5 +1,11 @@
 package raft
 
+import "jayspindle/internal/state/wal"
+
+// maxStateBytes bounds the application's state in a snapshot. The rest of the
+// largest snapshot is left for the membership.
+const maxStateBytes = wal.MaxSnapshotBytes - MaxMembers*(maxAddressBytes+entryOverhead) - 1<<10
+
 // incomingSnapshot collects chunks.
 type incomingSnapshot struct {
 	term     uint64 // of the leader that sends it
@@ -8,9 +14,14 @@
 
 // Compact takes the application's state after applying the entry at index and
 // drops the log before it, but for the last KeepEntries entries. The owner saves
-// the returned snapshot and then compacts its write-ahead log. An error of
-// KindInvalid says that index is not applied yet or already compacted.
+// the returned snapshot and then compacts its write-ahead log. The error kinds are
+// KindInvalid for an index that is not applied yet or already compacted, and
+// KindTooLarge.
 func (n *Node) Compact(index uint64, data []byte) (*Snapshot, error) {
+	if len(data) > maxStateBytes {
+		return nil, newError("compact", KindTooLarge, "state of %d bytes exceeds %d", len(data), maxStateBytes)
+	}
+
 	// Entries that are not on the own disk yet must still reach it.
 	applied := min(n.log.handed, n.log.stable)
 
--- a/internal/state/wal/files.go
+++ b/internal/state/wal/files.go
@@ -6,6 +6,7 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"syscall"
 )
 
@@ -51,7 +52,7 @@
 type osFiles struct{}
 
 func (osFiles) MakeDirectory(name string) error {
-	if err := os.MkdirAll(name, directoryMode); err != nil {
+	if err := makeDirectories(filepath.Clean(name)); err != nil {
 		return err
 	}
 
@@ -67,6 +68,25 @@
 	return nil
 }
 
+// makeDirectories creates a directory and its missing parents. Each new name is
+// synced: otherwise a crash could lose the directory with all synced files in it.
+func makeDirectories(name string) error {
+	if _, err := os.Stat(name); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+
+	parent := filepath.Dir(name)
+	if err := makeDirectories(parent); err != nil {
+		return err
+	}
+
+	if err := os.Mkdir(name, directoryMode); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+
+	return syncAfter(parent, os.O_RDONLY, func(*os.File) error { return nil })
+}
+
 func (osFiles) Lock(name string) (io.Closer, error) {
 	file, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
