Meet the linter in agent and peer

Cause: the draft of the agent had an unused mutex, a long line and an error constructor with a constant argument.

Change: remove them; say why the response body is closed elsewhere.

--- a/internal/program/agent/feeds.go
+++ b/internal/program/agent/feeds.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -31,7 +30,6 @@
 type feeds struct {
 	placer  *placer
 	logger  *slog.Logger
-	mutex   sync.Mutex // guards drained and ended
 	drained chan struct{}
 	ended   chan struct{}
 }
--- a/internal/program/agent/local.go
+++ b/internal/program/agent/local.go
@@ -52,7 +52,7 @@
 
 	handing, stop := l.handOverContext(ctx, c)
 
-	response, ran, err := l.backend.send(handing, c)
+	response, ran, err := l.backend.send(handing, c) //nolint:bodyclose // closed with the body of the result
 	if err != nil {
 		stop()
 		granted.close(admission.Abandoned)
--- a/internal/program/agent/placer.go
+++ b/internal/program/agent/placer.go
@@ -37,7 +37,9 @@
 	tracer   trace.Tracer
 }
 
-func newPlacer(self func() view.Incarnation, own *local, others *siblings, random *rand.Rand, tracer trace.Tracer) *placer {
+func newPlacer(
+	self func() view.Incarnation, own *local, others *siblings, random *rand.Rand, tracer trace.Tracer,
+) *placer {
 	return &placer{
 		picker:   placement.New(placement.DefaultPolicy(), random.Uint64()),
 		budget:   retry.New(retryRatio, retryBurst),
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -48,20 +48,20 @@
 
 // Result is what a run of the load client saw.
 type Result struct {
-	Classes        []*ClassResult   `json:"classes"`
-	Flows          int64            `json:"flows"`
-	BrokenFlows    int64            `json:"broken_flows"`
-	FeedEvents     int64            `json:"feed_events"`
-	FeedGaps       int64            `json:"feed_gaps"`
-	FeedDuplicates int64            `json:"feed_duplicates"`
-	FeedMoves      int64            `json:"feed_moves"`
-	Imbalance      float64          `json:"imbalance"` // busiest backend server over the mean
+	Classes        []*ClassResult `json:"classes"`
+	Flows          int64          `json:"flows"`
+	BrokenFlows    int64          `json:"broken_flows"`
+	FeedEvents     int64          `json:"feed_events"`
+	FeedGaps       int64          `json:"feed_gaps"`
+	FeedDuplicates int64          `json:"feed_duplicates"`
+	FeedMoves      int64          `json:"feed_moves"`
+	Imbalance      float64        `json:"imbalance"` // busiest backend server over the mean
 	// BackendServers counts answers by service and backend server.
 	BackendServers map[string]map[string]int64 `json:"backend_servers"`
-	RunTwice       int64            `json:"run_twice"`
-	Lost           int64            `json:"lost"`     // answered, but in no ledger
-	Phantom        int64            `json:"phantom"`  // refused with "not run", but in a ledger
-	Recorded       int64            `json:"recorded"` // keys in the ledgers
+	RunTwice       int64                       `json:"run_twice"`
+	Lost           int64                       `json:"lost"`     // answered, but in no ledger
+	Phantom        int64                       `json:"phantom"`  // refused with "not run", but in a ledger
+	Recorded       int64                       `json:"recorded"` // keys in the ledgers
 
 	mutex    sync.Mutex // guards everything above
 	classes  map[string]*ClassResult
--- a/internal/protocol/peer/error.go
+++ b/internal/protocol/peer/error.go
@@ -19,8 +19,8 @@
 	err       error
 }
 
-func newError(operation string, kind Kind, text string) *Error {
-	return &Error{operation: operation, kind: kind, err: errors.New(text)}
+func newError(operation, text string) *Error {
+	return &Error{operation: operation, kind: KindBounds, err: errors.New(text)}
 }
 
 // Error returns the operation, the kind and the cause.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -66,11 +66,11 @@
 func (r *Run) Check() error {
 	switch {
 	case len(r.Body) > MaxBody:
-		return newError("check run", KindBounds, "the body exceeds 1 MiB")
+		return newError("check run", "the body exceeds 1 MiB")
 	case len(r.Target) > MaxText || len(r.Key) > MaxText:
-		return newError("check run", KindBounds, "target or key exceeds 8 KiB")
+		return newError("check run", "target or key exceeds 8 KiB")
 	case r.Timeout <= 0:
-		return newError("check run", KindBounds, "no time is left")
+		return newError("check run", "no time is left")
 	default:
 		return nil
 	}
@@ -88,7 +88,7 @@
 // Check reports the first field out of bounds.
 func (f *Frame) Check() error {
 	if len(f.Body) > MaxChunk {
-		return newError("check frame", KindBounds, "the part exceeds 32 KiB")
+		return newError("check frame", "the part exceeds 32 KiB")
 	}
 
 	return nil
