Refuse documents whose empty values slow the YAML parser down

For each value that is left out the YAML parser inserts a token and moves all tokens behind it, so 1 MiB of "- a:" lines did not end within 7 s and blocked every controller that applied it.

--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -204,6 +204,11 @@
 	_, err = document.Parse("a.yaml", bomb(5000))
 	is.True(strings.Contains(err.Error(), "found a list of 5000, allowed: 1 to 64 classes"))
 
+	for _, fragment := range []string{"a: 1\n", "[\na: 1\n", "? a\n: b\n", "- a:\n  b:\n", "- {a}\n", "- {a: }\n", "-\n"} {
+		_, err = document.Parse("a.yaml", []byte(strings.Repeat(fragment, 1000)))
+		is.True(strings.Contains(err.Error(), "allowed: at most ")) // before the parser spends quadratic time on it
+	}
+
 	self := "schema: 1\nservices: &a [*a]\n"
 	_, err = document.Parse("a.yaml", []byte(self))
 	is.True(strings.Contains(err.Error(), "an alias of an anchor further up"))
--- a/internal/state/document/tree.go
+++ b/internal/state/document/tree.go
@@ -81,10 +81,13 @@
 // maxKeys bounds the keys of one block mapping. The largest valid one has 8.
 const maxKeys = 64
 
-// nestingFault looks for nesting deeper than maxNesting and for mappings of
-// more than maxKeys keys.
+// nestingFault looks for nesting deeper than maxNesting, for mappings of more
+// than maxKeys keys, and for more than maxEmptyValues empty values.
 func nestingFault(name string, tokens token.Tokens) (Fault, bool) {
-	var s shape
+	var (
+		s shape
+		e emptyValues
+	)
 
 	for _, current := range tokens {
 		if current.Position == nil || current.Type == token.CommentType {
@@ -92,6 +95,10 @@
 		}
 
 		found, allowed := s.add(current)
+		if found == "" {
+			found, allowed = e.add(current)
+		}
+
 		if found == "" {
 			continue
 		}
