Suspend members whose leases run out instead of removing them

Cause: a member that lost only its link to the controllers left the view with its lease. Balancers then dropped the packets of its established flows, although caller, balancer and agent could still reach each other.

Change: Expire marks a member as suspended. It takes no new flows, placements or claims, but its incarnation stays reachable. The same boot ID announces again under the same incarnation. One expectation of TestAnnouncements changed with this: an expired process comes back as incarnation 2, active, where it used to become incarnation 3; the check now also asserts the state in between.

Ruled out: a longer lease, which would delay the end of new flows to dead agents by the same time.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -171,7 +171,7 @@
 	case command.Leave != nil:
 		result, changed = environment.leave(*command.Leave)
 	case command.Expire != nil:
-		result, changed = environment.expire(*command.Expire)
+		result, changed = environment.expire(at, *command.Expire)
 	case command.SetWeight != nil:
 		result, changed = environment.setWeight(*command.SetWeight)
 	case command.RotateKey != nil:
--- a/internal/state/catalog/command.go
+++ b/internal/state/catalog/command.go
@@ -130,7 +130,8 @@
 	Phase       Phase            `cbor:"3,keyasint"`
 }
 
-// Expire removes members whose leases ran out.
+// Expire suspends members whose leases ran out. They keep their incarnation if
+// they announce again with the same boot ID.
 type Expire struct {
 	Environment  string             `cbor:"1,keyasint"`
 	Incarnations []view.Incarnation `cbor:"2,keyasint"`
--- a/internal/state/catalog/member.go
+++ b/internal/state/catalog/member.go
@@ -30,6 +30,11 @@
 	flapWindow = 30 * time.Second
 	flapWeight = 1
 
+	// keptSuspended is how long a member is reachable for its established flows
+	// after its lease ran out. A flow outlives most partitions, and 140 failures
+	// a day leave about 6 dead members in the view.
+	keptSuspended = time.Hour
+
 	maxZoneBytes = 63
 )
 
@@ -45,17 +50,27 @@
 	State       view.State       `cbor:"8,keyasint"`
 	Boot        BootID           `cbor:"9,keyasint"`
 	Flapping    bool             `cbor:"10,keyasint"`
+	Expired     int64            `cbor:"11,keyasint"` // when the lease ran out, 0 while it is held
 }
 
 func (m member) agent() view.Agent {
 	return view.Agent{
 		Incarnation: m.Incarnation, Service: m.Service, Zone: m.Zone,
-		Data: m.Data, Peer: m.Peer, Weight: m.Weight, State: m.State,
+		Data: m.Data, Peer: m.Peer, Weight: m.Weight, State: m.shown(),
 	}
 }
 
 func (m member) balancer() view.Balancer {
-	return view.Balancer{Incarnation: m.Incarnation, Zone: m.Zone, Data: m.Data, Relay: m.Peer, State: m.State}
+	return view.Balancer{Incarnation: m.Incarnation, Zone: m.Zone, Data: m.Data, Relay: m.Peer, State: m.shown()}
+}
+
+// shown returns the state in views.
+func (m member) shown() view.State {
+	if m.Expired != 0 {
+		return view.Suspended
+	}
+
+	return m.State
 }
 
 // announced reports whether the member came from an announcement like this.
@@ -103,7 +118,7 @@
 
 	if incarnation, ok := e.boots[command.Boot]; ok {
 		if known := e.members[incarnation]; known.announced(command, service) {
-			return known.result(), false
+			return e.resume(known)
 		}
 
 		return refuse(KindReused, "boot ID %x belongs to another announcement", command.Boot), false
@@ -142,6 +157,19 @@
 	return result, true
 }
 
+// resume answers a repeated announcement. A member whose lease had run out
+// goes on under its incarnation, so that its flows stay reachable.
+func (e *environment) resume(known member) (Result, bool) {
+	if known.Expired == 0 {
+		return known.result(), false
+	}
+
+	known.Expired = 0
+	e.put(known)
+
+	return known.result(), true
+}
+
 // check refuses announcements that no instance could use.
 func (a Announce) check() error {
 	if a.Role != RoleAgent && a.Role != RoleBalancer {
@@ -325,17 +353,47 @@
 	return result, true
 }
 
-func (e *environment) expire(command Expire) (Result, bool) {
+// expire suspends members whose leases ran out and removes those that have
+// been suspended for keptSuspended.
+func (e *environment) expire(at entry, command Expire) (Result, bool) {
 	var result Result
 
 	for _, incarnation := range command.Incarnations {
-		if _, ok := e.members[incarnation]; ok {
-			e.remove(incarnation)
-			result.Removed = append(result.Removed, incarnation)
+		known, ok := e.members[incarnation]
+		if !ok || known.Expired != 0 {
+			continue
 		}
+
+		known.Expired = max(at.now, 1)
+		e.put(known)
+
+		result.Removed = append(result.Removed, incarnation)
+	}
+
+	forgotten := e.forget(at.now)
+
+	return result, forgotten || len(result.Removed) > 0
+}
+
+// forget removes the members that have been suspended for too long and reports
+// whether there were any.
+func (e *environment) forget(now int64) bool {
+	var gone []view.Incarnation
+
+	for incarnation, known := range e.members {
+		if known.Expired != 0 && now-known.Expired >= int64(keptSuspended) {
+			gone = append(gone, incarnation)
+		}
+	}
+
+	// The order decides which boot IDs are remembered longest, and replicas must agree.
+	slices.Sort(gone)
+
+	for _, incarnation := range gone {
+		e.end(incarnation)
 	}
 
-	return result, len(result.Removed) > 0
+	return len(gone) > 0
 }
 
 func (e *environment) setWeight(command SetWeight) (Result, bool) {
--- a/internal/state/catalog/member_test.go
+++ b/internal/state/catalog/member_test.go
@@ -30,9 +30,46 @@
 	l.refused(KindSuperseded, announceOf("s0", 1, 1)) // late duplicate of the replaced process
 
 	l.ok(Command{Expire: &Expire{Environment: Trial, Incarnations: []view.Incarnation{1, 2}}})
-	third := l.ok(announceOf("s0", 1, 2)) // an expired process may come back
-	is.Equal(third.Incarnation, view.Incarnation(3))
+	assertState(t, l.state, 2, view.Suspended)
+	third := l.ok(announceOf("s0", 1, 2)) // an expired process comes back under its incarnation
+	is.Equal(third.Incarnation, view.Incarnation(2))
 	is.Equal(len(assertView(t, l.state, Trial).Agents()), 1)
+	assertState(t, l.state, 2, view.Active)
+}
+
+// Guards against flows that break because an agent lost only its control link,
+// and against dead agents that stay in views for ever.
+func TestSuspension(t *testing.T) {
+	l := newLog(t)
+	is := is.New(t)
+	l.accept(Trial, yamlOf(1, "one"))
+	l.ok(announceOf("s0", 1, 1))
+	l.ok(announceOf("s0", 2, 2))
+
+	expire := func(incarnation view.Incarnation) Result {
+		return l.ok(Command{Expire: &Expire{Environment: Trial, Incarnations: []view.Incarnation{incarnation}}})
+	}
+
+	is.Equal(expire(1).Removed, []view.Incarnation{1})
+	is.Equal(len(expire(1).Removed), 0) // a resend changes nothing
+	assertState(t, l.state, 1, view.Suspended)
+
+	l.now = l.now.Add(keptSuspended - time.Second)
+	expire(2)
+	assertState(t, l.state, 1, view.Suspended)
+
+	l.now = l.now.Add(time.Second)
+	expire(2)
+	is.Equal(len(assertView(t, l.state, Trial).Agents()), 1) // the first is forgotten
+	l.refused(KindSuperseded, announceOf("s0", 1, 1))
+}
+
+func assertState(t *testing.T, state *Catalog, incarnation view.Incarnation, want view.State) {
+	t.Helper()
+
+	agent, ok := assertView(t, state, Trial).Agent(incarnation)
+	is.New(t).True(ok)                 // the incarnation is in the view
+	is.New(t).Equal(agent.State, want) // state in the view
 }
 
 // Guards against a crash loop that gets a full share of new flows.
--- a/internal/state/view/types.go
+++ b/internal/state/view/types.go
@@ -41,11 +41,15 @@
 // State is the membership state of an agent or a balancer.
 type State uint8
 
-// The membership states. An instance that left or expired is removed from the
-// view, so it has no state of its own.
+// The membership states. An instance that left is removed from the view.
 const (
 	Active State = iota + 1
+	// Draining instances take no new work and finish what they have.
 	Draining
+	// Suspended instances did not renew their lease. They take no new work, but
+	// packets of established flows still go to them: an agent that is cut off
+	// from the controllers only can serve its callers all the same.
+	Suspended
 )
 
 // String returns the state as it appears in logs and tables.
@@ -55,6 +59,8 @@
 		return "active"
 	case Draining:
 		return "draining"
+	case Suspended:
+		return "suspended"
 	default:
 		return fmt.Sprintf("state(%d)", uint8(s))
 	}
