--- /dev/null
+++ b/internal/cli/cmd/members.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"jayspindle/internal/program/controller"
+	"jayspindle/internal/protocol/control"
+)
+
+type membersCommand struct {
+	operator
+	action  string
+	replica string
+	name    string
+	address string
+}
+
+func (*membersCommand) Name() string { return "members" }
+
+func (*membersCommand) Synopsis() string { return "list or change the controller group" }
+
+func (*membersCommand) Usage() string {
+	return `jayspindle members [-action list|add|promote|remove] [flags]
+  A controller with a new data directory joins by itself. The actions are for
+  operators who replace a lost controller by hand.
+  Example: jayspindle members
+  Example: jayspindle members -action remove -replica 4f2a91c07d3be865
+`
+}
+
+func (c *membersCommand) SetFlags(flags *flag.FlagSet) {
+	c.setFlags(flags)
+	flags.StringVar(&c.action, "action", "list", "list, add, promote or remove")
+	flags.StringVar(&c.replica, "replica", "", "replica `identity` in hexadecimal")
+	flags.StringVar(&c.name, "name", "", "name of the controller to add")
+	flags.StringVar(&c.address, "address", "", "`address` of the controller to add")
+}
+
+func (c *membersCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
+		reply, err := c.act(ctx, client)
+
+		return reply, func() { showMembers(reply) }, err
+	})
+}
+
+func (c *membersCommand) act(ctx context.Context, client *controller.Client) (control.MembersReply, error) {
+	if c.action == "list" {
+		return client.Members(ctx)
+	}
+
+	replica, err := strconv.ParseUint(c.replica, 16, 64)
+	if err != nil {
+		return control.MembersReply{}, errors.Annotatef(err, "-replica %q", c.replica)
+	}
+
+	switch c.action {
+	case "promote":
+		return client.PromoteMember(ctx, replica)
+	case "remove":
+		return client.RemoveMember(ctx, replica)
+	case "add":
+		address, err := netip.ParseAddrPort(c.address)
+		if err != nil {
+			return control.MembersReply{}, errors.Annotatef(err, "-address %q", c.address)
+		}
+
+		return client.AddMember(ctx, control.Member{Replica: replica, Name: c.name, Address: address})
+	default:
+		return control.MembersReply{}, errors.Errorf("-action %q is not one of list, add, promote, remove", c.action)
+	}
+}
+
+func showMembers(reply control.MembersReply) {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REPLICA\tNAME\tADDRESS\tVOTER\tSTORED INDEX\tLEADER")
+
+	for _, member := range reply.Members {
+		fmt.Fprintf(table, "%016x\t%s\t%s\t%t\t%d\t%t\n", member.Replica, member.Name, member.Address, member.Voter,
+			member.Match, member.Name == reply.Leader)
+	}
+
+	_ = table.Flush() // standard output: nothing is left to tell the operator with
+}
--- /dev/null
+++ b/internal/cli/cmd/operator.go
@@ -0,0 +1,184 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"jayspindle/internal/program/controller"
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/settings"
+	"jayspindle/internal/transport/identity"
+	"jayspindle/internal/transport/link"
+)
+
+const (
+	// callTimeout covers an election and a redirect to the new leader.
+	callTimeout = 10 * time.Second
+	// progressAfter is how long a command may be silent.
+	progressAfter = 2 * time.Second
+)
+
+// operatorSettings tells the operator's commands where the controllers are and
+// who the operator is.
+type operatorSettings struct {
+	Controllers []netip.AddrPort `yaml:"controllers" validate:"min=1,max=10"`
+	Identity    identity.Files   `yaml:"identity" validate:"required"`
+}
+
+// operator holds the flags that all commands to the controllers share.
+type operator struct {
+	settings string
+	json     bool
+}
+
+func (o *operator) setFlags(flags *flag.FlagSet) {
+	flags.StringVar(&o.settings, "settings", "operator.yaml", "YAML settings `file` of the operator")
+	flags.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+// run calls the controllers and prints the reply: as JSON, or by the function
+// that show returns.
+func (o *operator) run(
+	ctx context.Context, request func(ctx context.Context, client *controller.Client) (any, func(), error),
+) subcommands.ExitStatus {
+	config, err := settings.Load[operatorSettings](o.settings)
+	if err != nil {
+		return fail(err)
+	}
+
+	store, err := identity.Open(config.Identity, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return fail(err)
+	}
+
+	connection := link.Dial(link.ClientOptions{
+		Addresses: config.Controllers,
+		Identity:  store,
+		Accept:    identity.Policy{Roles: []identity.Role{identity.RoleController}},
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	defer connection.Close()
+
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	progress := time.AfterFunc(progressAfter, func() {
+		fmt.Fprintln(os.Stderr, "jayspindle: waiting for the controllers")
+	})
+	defer progress.Stop()
+
+	reply, show, err := request(ctx, controller.NewClient(connection))
+	if err != nil {
+		return refusedOrFailed(err)
+	}
+
+	if o.json {
+		return printJSON(reply)
+	}
+
+	show()
+
+	return statusOf(reply)
+}
+
+// statusOf returns the exit status for what became of a change.
+func statusOf(reply any) subcommands.ExitStatus {
+	change, ok := reply.(control.ChangeReply)
+	if !ok {
+		return exitOK
+	}
+
+	switch change.State {
+	case control.StateConflict, control.StateInvalid:
+		return exitRefused
+	default:
+		return exitOK
+	}
+}
+
+// refusedOrFailed tells a refusal of the controllers from a failed call.
+func refusedOrFailed(err error) subcommands.ExitStatus {
+	status := fail(err)
+
+	switch link.KindOf(err) {
+	case link.KindInvalid, link.KindDenied, link.KindNotFound, link.KindConflict:
+		return exitRefused
+	default:
+		return status
+	}
+}
+
+func printJSON(value any) subcommands.ExitStatus {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+
+	if err := encoder.Encode(value); err != nil {
+		return fail(err)
+	}
+
+	return statusOf(value)
+}
+
+// showChange prints what became of a change.
+func showChange(reply control.ChangeReply) func() {
+	return func() {
+		change := reply.Change
+		fmt.Printf("%s: change %s, version %d, digest %x, author %s, signed by %v\n",
+			reply.State, change.ChangeID, change.Version, change.Digest, change.Author, change.Signers)
+
+		if reply.Message != "" {
+			fmt.Println(reply.Message)
+		}
+	}
+}
+
+// pendingChange returns the pending change of an environment and checks that it
+// is the given document, so that nobody signs bytes that he has not read.
+func pendingChange(
+	ctx context.Context, client *controller.Client, environment string, digest [32]byte,
+) (control.Change, error) {
+	status, err := client.Status(ctx, environment)
+	if err != nil {
+		return control.Change{}, err
+	}
+
+	if status.Pending == nil {
+		return control.Change{}, link.Errorf(link.KindNotFound, "no change of %s is pending", environment)
+	}
+
+	if [32]byte(status.Pending.Digest) != digest {
+		return control.Change{}, link.Errorf(link.KindConflict,
+			"the pending change of %s has digest %x, the file has %x", environment, status.Pending.Digest, digest)
+	}
+
+	return *status.Pending, nil
+}
+
+// readDocument reads a document file, which may be "-" for standard input.
+func readDocument(name string) ([]byte, error) {
+	if name == "" {
+		return nil, errors.New("-file is missing")
+	}
+
+	if name == "-" {
+		return readAll(os.Stdin)
+	}
+
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer file.Close() //nolint:errcheck // the file was only read
+
+	return readAll(file)
+}
--- /dev/null
+++ b/internal/cli/cmd/sign.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"jayspindle/internal/program/controller"
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/document"
+	"jayspindle/internal/transport/identity"
+)
+
+// signature holds the flags of commands that sign the pending change.
+type signature struct {
+	operator
+	environment string
+	file        string
+	owner       string
+	key         string
+}
+
+func (s *signature) setSignFlags(flags *flag.FlagSet) {
+	s.setFlags(flags)
+	flags.StringVar(&s.environment, "environment", "trial", "trial or production")
+	flags.StringVar(&s.file, "file", "", "the document that was read and is decided on")
+	flags.StringVar(&s.owner, "owner", "", "name of the co-owner")
+	flags.StringVar(&s.key, "key", "", "private key `file` of the co-owner")
+}
+
+// sign signs the decision on the pending change if it is the document in the file.
+func (s *signature) sign(
+	ctx context.Context, client *controller.Client, decision document.Decision,
+) (control.Change, []byte, error) {
+	data, err := readDocument(s.file)
+	if err != nil {
+		return control.Change{}, nil, err
+	}
+
+	key, err := identity.LoadKey(s.key)
+	if err != nil {
+		return control.Change{}, nil, err
+	}
+
+	digest := document.Digest(data)
+
+	change, err := pendingChange(ctx, client, s.environment, digest)
+	if err != nil {
+		return control.Change{}, nil, err
+	}
+
+	text := document.SignedText(s.environment, change.Version, digest, decision)
+
+	return change, key.SignMessage(text), nil
+}
+
+type signCommand struct{ signature }
+
+func (*signCommand) Name() string { return "sign" }
+
+func (*signCommand) Synopsis() string { return "accept the pending change as a co-owner" }
+
+func (*signCommand) Usage() string {
+	return `jayspindle sign -file FILE -owner NAME -key FILE [flags]
+  Signs environment, version and digest of the pending change, which must be
+  the document in the file. The change is accepted with both signatures.
+  Example: jayspindle sign -environment trial -file document.yaml -owner city -key keys/city.key
+`
+}
+
+func (c *signCommand) SetFlags(flags *flag.FlagSet) { c.setSignFlags(flags) }
+
+func (c *signCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
+		change, signed, err := c.sign(ctx, client, document.Accept)
+		if err != nil {
+			return nil, nil, err
+		}
+
+		reply, err := client.Sign(ctx, control.Sign{
+			Environment: c.environment,
+			Version:     change.Version,
+			Digest:      change.Digest,
+			Owner:       c.owner,
+			Signature:   signed,
+		})
+
+		return reply, showChange(reply), err
+	})
+}
--- /dev/null
+++ b/internal/cli/cmd/trace.go
@@ -0,0 +1,180 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+)
+
+// maxSpanLine bounds one line of a trace file in bytes.
+const maxSpanLine = 1 << 20
+
+type traceCommand struct {
+	request string
+	json    bool
+}
+
+func (*traceCommand) Name() string { return "trace" }
+
+func (*traceCommand) Synopsis() string { return "print the hops of a request as a tree" }
+
+func (*traceCommand) Usage() string {
+	return `jayspindle trace [-request TEXT] FILE...
+  Reads the trace files of the instances and prints each trace as a tree of
+  spans. With -request only traces with an attribute or ID that contains it.
+  Example: jayspindle trace -request 5f1c *.trace
+`
+}
+
+func (c *traceCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.request, "request", "", "part of a trace ID or of an attribute's value")
+	flags.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// span is what trace needs of an exported span.
+type span struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+	StartTime   time.Time
+	EndTime     time.Time
+	Attributes  []attributeValue
+	Resource    []attributeValue
+}
+
+type attributeValue struct {
+	Key   string
+	Value struct{ Value any }
+}
+
+func (s span) attribute(key string) string {
+	for _, attribute := range append(slices.Clone(s.Resource), s.Attributes...) {
+		if attribute.Key == key {
+			return fmt.Sprint(attribute.Value.Value)
+		}
+	}
+
+	return ""
+}
+
+func (c *traceCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() == 0 {
+		return usage("trace: no trace file is named")
+	}
+
+	traces := make(map[string][]span)
+
+	for _, name := range flags.Args() {
+		if err := readSpans(name, traces); err != nil {
+			return fail(err)
+		}
+	}
+
+	shown := 0
+
+	for _, id := range slices.Sorted(maps.Keys(traces)) {
+		spans := traces[id]
+		if !matches(spans, c.request) {
+			continue
+		}
+
+		shown++
+
+		slices.SortFunc(spans, func(a, b span) int { return a.StartTime.Compare(b.StartTime) })
+
+		if c.json {
+			_ = printJSON(spans)
+		} else {
+			fmt.Printf("trace %s\n", id)
+			printTree(spans, "", "  ")
+		}
+	}
+
+	if shown == 0 {
+		return fail(errors.Errorf("no trace matches %q", c.request))
+	}
+
+	return exitOK
+}
+
+func readSpans(name string, traces map[string][]span) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer file.Close() //nolint:errcheck // the file was only read
+
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxSpanLine)
+
+	for number := 1; lines.Scan(); number++ {
+		var next span
+		if err := json.Unmarshal(lines.Bytes(), &next); err != nil {
+			return errors.Annotatef(err, "%s:%d", name, number)
+		}
+
+		id := next.SpanContext.TraceID
+		traces[id] = append(traces[id], next)
+	}
+
+	return errors.Annotate(lines.Err(), name)
+}
+
+func matches(spans []span, text string) bool {
+	if text == "" {
+		return true
+	}
+
+	for _, item := range spans {
+		if strings.Contains(item.SpanContext.TraceID, text) {
+			return true
+		}
+
+		for _, attribute := range item.Attributes {
+			if strings.Contains(fmt.Sprint(attribute.Value.Value), text) {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+// printTree prints the spans below a parent. Spans whose parent was written by
+// a process whose file is not at hand are printed at the top.
+func printTree(spans []span, parent, indent string) {
+	known := make(map[string]bool, len(spans))
+	for _, item := range spans {
+		known[item.SpanContext.SpanID] = true
+	}
+
+	for _, item := range spans {
+		top := parent == "" && !known[item.Parent.SpanID]
+		if !top && item.Parent.SpanID != parent {
+			continue
+		}
+
+		printSpan(item, indent)
+		printTree(spans, item.SpanContext.SpanID, indent+"  ")
+	}
+}
+
+func printSpan(item span, indent string) {
+	attributes := make([]string, 0, len(item.Attributes))
+	for _, attribute := range item.Attributes {
+		attributes = append(attributes, fmt.Sprintf("%s=%v", attribute.Key, attribute.Value.Value))
+	}
+
+	fmt.Printf("%s%s  %s  at %s (%s)  %s\n", indent, item.Name, item.EndTime.Sub(item.StartTime),
+		item.attribute("service.instance.id"), item.attribute("cloud.availability_zone"), strings.Join(attributes, " "))
+}
--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -70,7 +70,6 @@
 	conn       atomic.Pointer[packetConn]
 	ids        atomic.Pointer[connid.Generator]
 	service    atomic.Uint32
-	background conc.WaitGroup // calls to siblings in progress
 }
 
 // New returns an agent. It announces itself once Run is called.
@@ -113,7 +112,16 @@
 
 	a.placer = newPlacer(a.member.Incarnation, a.local, a.siblings, random, observed.Tracer())
 	a.feeds = newFeeds(a.placer, a.logger)
-	a.claims = newClaims(a)
+	a.claims = newClaims(claimOptions{
+		service:   config.Service,
+		zone:      config.Instance.Zone,
+		capacity:  config.ClaimsAtMost,
+		self:      a.member.Incarnation,
+		serviceID: func() view.ServiceID { return view.ServiceID(a.service.Load()) },
+		confirmed: a.member.Confirmed,
+		sibling:   func(agent view.Agent) caller { return a.siblings.client(agent) },
+		logger:    a.logger,
+	})
 
 	if err := a.listenPeers(store); err != nil {
 		return nil, err
@@ -164,8 +172,6 @@
 	return class, ok
 }
 
-func (a *Agent) serviceID() view.ServiceID { return view.ServiceID(a.service.Load()) }
-
 // apply puts a view into force. The member calls it for one view at a time.
 func (a *Agent) apply(current *view.View) {
 	service, ok := current.ServiceByName(a.config.Service)
--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"jayspindle/internal/coordination/claim"
 	"jayspindle/internal/coordination/rollout"
 	"jayspindle/internal/state/view"
@@ -24,13 +26,29 @@
 	expireInterval  = time.Second
 )
 
+// caller calls a method of another agent.
+type caller interface {
+	Call(ctx context.Context, method string, request, reply any) error
+}
+
+// claimOptions are the dependencies of claims.
+type claimOptions struct {
+	service   string // name
+	zone      string
+	capacity  int // claims held at most, 0 means defaultCapacity
+	self      func() view.Incarnation
+	serviceID func() view.ServiceID
+	confirmed func(now time.Time) bool // whether a leader confirmed the view lately
+	sibling   func(agent view.Agent) caller
+	logger    *slog.Logger
+}
+
 // claims runs non-idempotent requests at most once. One goroutine owns the
 // store, the history of memberships and the claimants.
 type claims struct {
-	agent    *Agent
-	logger   *slog.Logger
-	events   chan func(now time.Time)
-	capacity int
+	claimOptions
+	events     chan func(now time.Time)
+	background conc.WaitGroup // calls to siblings in progress
 
 	// Owned by the goroutine of run.
 	store    *claim.Store
@@ -48,21 +66,18 @@
 	settled  chan struct{}       // closed when the holders know the outcome
 }
 
-func newClaims(agent *Agent) *claims {
-	capacity := agent.config.ClaimsAtMost
-	if capacity == 0 {
-		capacity = defaultCapacity
+func newClaims(options claimOptions) *claims {
+	if options.capacity == 0 {
+		options.capacity = defaultCapacity
 	}
 
 	return &claims{
-		agent:    agent,
-		logger:   agent.logger,
-		events:   make(chan func(now time.Time), 64),
-		capacity: capacity,
-		history:  claim.NewHistory(time.Now(), retention, maxUnconfirmed),
-		agents:   make(map[view.Incarnation]view.Agent),
-		active:   make(map[uint64]*activeClaim),
-		incoming: make(map[view.Incarnation][]byte),
+		claimOptions: options,
+		events:       make(chan func(now time.Time), 64),
+		history:      claim.NewHistory(time.Now(), retention, maxUnconfirmed),
+		agents:       make(map[view.Incarnation]view.Agent),
+		active:       make(map[uint64]*activeClaim),
+		incoming:     make(map[view.Incarnation][]byte),
 	}
 }
 
@@ -73,6 +88,7 @@
 
 	expiry := time.NewTicker(expireInterval)
 	defer expiry.Stop()
+	defer c.background.Wait()
 
 	for {
 		select {
@@ -130,7 +146,7 @@
 
 // ensureStore creates the store once the incarnation is known.
 func (c *claims) ensureStore() {
-	if own := c.agent.member.Incarnation(); c.store == nil && own != 0 {
+	if own := c.self(); c.store == nil && own != 0 {
 		c.store = claim.NewStore(own, retention, c.capacity)
 	}
 }
@@ -140,7 +156,7 @@
 func (c *claims) housekeep(ctx context.Context, now time.Time) {
 	c.ensureStore()
 
-	if c.agent.member.Confirmed(now) {
+	if c.confirmed(now) {
 		c.history.Confirm(now)
 	}
 
@@ -190,7 +206,7 @@
 
 // send sends a message to a holder. The reply comes back as an event.
 func (c *claims) send(ctx context.Context, now time.Time, message claim.Message) {
-	if message.To == c.agent.member.Incarnation() {
+	if message.To == c.self() {
 		c.reply(now, c.store.Handle(now, message.Request))
 
 		return
@@ -201,9 +217,9 @@
 		return
 	}
 
-	client := c.agent.siblings.client(holder)
+	client := c.sibling(holder)
 
-	c.agent.background.Go(func() {
+	c.background.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, claimCall)
 		defer cancel()
 
@@ -238,8 +254,8 @@
 
 		c.sequence++
 		decided = make(chan claim.Decision, 1)
-		execution := claim.Execution{Agent: c.agent.member.Incarnation(), Sequence: c.sequence}
-		key := claim.Key{Service: c.agent.serviceID(), Token: token}
+		execution := claim.Execution{Agent: c.self(), Sequence: c.sequence}
+		key := claim.Key{Service: c.serviceID(), Token: token}
 		active = &activeClaim{
 			claimant: claim.Begin(now, key, execution, c.history),
 			decided:  decided,
@@ -263,8 +279,8 @@
 }
 
 func (c *claims) checkPeer(ctx context.Context) error {
-	if caller := link.Peer(ctx); caller.Service != c.agent.config.Service {
-		return link.Errorf(link.KindDenied, "%s may not claim for service %q", caller, c.agent.config.Service)
+	if caller := link.Peer(ctx); caller.Service != c.service {
+		return link.Errorf(link.KindDenied, "%s may not claim for service %q", caller, c.service)
 	}
 
 	return nil
--- a/internal/program/agent/seats.go
+++ b/internal/program/agent/seats.go
@@ -65,17 +65,17 @@
 	siblings := make([]view.Agent, 0, len(c.agents))
 
 	for incarnation, agent := range c.agents {
-		if incarnation != c.agent.member.Incarnation() {
+		if incarnation != c.self() {
 			siblings = append(siblings, agent)
 		}
 	}
 
 	// The own view must contain the agent, or the others may not know of it.
-	if _, ok := c.agents[c.agent.member.Incarnation()]; !ok {
+	if _, ok := c.agents[c.self()]; !ok {
 		return
 	}
 
-	c.agent.background.Go(func() {
+	c.background.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, pastTimeout)
 		defer cancel()
 
@@ -83,7 +83,7 @@
 
 		for _, sibling := range siblings {
 			var reply pastReply
-			if err := c.agent.siblings.client(sibling).Call(limited, methodPast, &empty{}, &reply); err != nil {
+			if err := c.sibling(sibling).Call(limited, methodPast, &empty{}, &reply); err != nil {
 				continue
 			}
 
@@ -139,12 +139,12 @@
 	)
 
 	for incarnation, agent := range c.agents {
-		if incarnation == c.agent.member.Incarnation() || agent.State != view.Active {
+		if incarnation == c.self() || agent.State != view.Active {
 			continue
 		}
 
-		near := agent.Zone == c.agent.config.Instance.Zone
-		if !found || (near && best.Zone != c.agent.config.Instance.Zone) {
+		near := agent.Zone == c.zone
+		if !found || (near && best.Zone != c.zone) {
 			best, found = agent, true
 		}
 	}
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(ctx, transferCall)
 	defer cancel()
 
-	client := c.agent.siblings.client(successor)
+	client := c.sibling(successor)
 
 	for offset := 0; ; offset += partSize {
 		end := min(offset+partSize, len(encoded))
