Reply only through balancers of the view

An agent learned the address of a balancer newer than its view from the source of a datagram, and a replayed datagram has the source that its sender chose.

Change: balancers that the view does not have get no replies.

--- a/internal/coordination/forward/agent.go
+++ b/internal/coordination/forward/agent.go
@@ -82,7 +82,7 @@
 		return drop(ofHeader[reason])
 	}
 
-	a.paths.hear(now, a.header.Balancer, source)
+	a.paths.hear(now, a.header.Balancer)
 
 	switch a.header.Kind {
 	case datagram.Forward:
--- a/internal/coordination/forward/paths.go
+++ b/internal/coordination/forward/paths.go
@@ -14,9 +14,6 @@
 	// callerSlots is the number of callers whose last path is remembered, as a
 	// table without collision handling: a collision costs one choice.
 	callerSlots = 4096
-
-	// maxUnlisted bounds the balancers that are newer than the view.
-	maxUnlisted = 256
 )
 
 // path is a balancer that replies can take.
@@ -26,37 +23,28 @@
 	heard       int64 // Unix nanoseconds; 0 for never
 	active      bool  // in the list of active paths
 	draining    bool
-	unlisted    bool // newer than the view
 }
 
 // paths selects a balancer for each reply. It belongs to one goroutine.
 type paths struct {
 	all    []path
 	places map[view.Incarnation]int32
-	newest view.Incarnation // highest incarnation in the view
-	active []int32          // places of the paths heard from lately
+	active []int32 // places of the paths heard from lately
 	cursor int
 	listed []int32 // places of the paths used while none is active
 	spare  int
 	last   [callerSlots]view.Incarnation
-	extras int
 }
 
 func newPaths() *paths { return &paths{places: make(map[view.Incarnation]int32)} }
 
-// apply takes the balancers of a view. What was heard from those that stay,
-// and from those that the view does not have yet, is kept.
+// apply takes the balancers of a view. What was heard from those that stay is
+// kept.
 func (p *paths) apply(next *view.View) {
 	old, places := p.all, p.places
 	*p = paths{places: make(map[view.Incarnation]int32, len(next.Balancers())), last: p.last}
 
-	for _, agent := range next.Agents() {
-		p.newest = max(p.newest, agent.Incarnation)
-	}
-
 	for _, balancer := range next.Balancers() {
-		p.newest = max(p.newest, balancer.Incarnation)
-
 		made := path{
 			incarnation: balancer.Incarnation, address: balancer.Data,
 			draining: balancer.State == view.Draining,
@@ -68,13 +56,6 @@
 		p.add(made)
 	}
 
-	for _, former := range old {
-		if former.unlisted && former.incarnation > p.newest {
-			former.active = false
-			p.add(former)
-		}
-	}
-
 	p.list()
 }
 
@@ -82,7 +63,7 @@
 func (p *paths) list() {
 	for _, draining := range []bool{false, true} {
 		for place := range p.all {
-			if p.all[place].draining == draining && !p.all[place].unlisted {
+			if p.all[place].draining == draining {
 				p.listed = append(p.listed, int32(place))
 			}
 		}
@@ -98,10 +79,6 @@
 	p.all = append(p.all, made)
 	p.places[made.incarnation] = place
 
-	if made.unlisted {
-		p.extras++
-	}
-
 	if made.heard != 0 {
 		p.activate(place)
 	}
@@ -115,19 +92,13 @@
 	}
 }
 
-// hear notes a datagram from a balancer. An incarnation above all of the view
-// is a balancer that the view does not have yet; one below has left.
-func (p *paths) hear(now time.Time, balancer view.Incarnation, source netip.AddrPort) {
-	place, ok := p.places[balancer]
-	if ok {
+// hear notes a datagram from a balancer. One that the view does not have gets
+// no reply: its address would come from the source of the datagram, and a
+// replayed datagram has the source that its sender chose.
+func (p *paths) hear(now time.Time, balancer view.Incarnation) {
+	if place, ok := p.places[balancer]; ok {
 		p.all[place].heard = now.UnixNano()
 		p.activate(place)
-
-		return
-	}
-
-	if balancer > p.newest && p.extras < maxUnlisted {
-		p.add(path{incarnation: balancer, address: source, heard: now.UnixNano(), unlisted: true})
 	}
 }
 
--- a/internal/testing/measure/flows_world.go
+++ b/internal/testing/measure/flows_world.go
@@ -70,6 +70,7 @@
 	agents      map[view.Incarnation]*flowsAgent
 	byAddress   map[netip.AddrPort]*flowsAgent
 	flows       []*flow
+	flights     []*flight
 	captured    []byte // a datagram to replay
 	capturedFor view.ServiceID
 	callers     uint32
