Keep eight fabric keys in a view

Cause: senders seal with the predecessor of the newest key and receivers need the newest three, but the catalog kept two, so a rotation would have dropped datagrams of instances that are one rotation behind.

Change: the catalog keeps eight keys, key IDs repeat after 64. TestRotateKey expected two keys; it now expects eight, newest first, with none left out.

--- a/internal/state/catalog/member.go
+++ b/internal/state/catalog/member.go
@@ -416,9 +416,14 @@
 	return known.result(), true
 }
 
-// keyIDs is the number of key IDs. Two keys are in use at a time, so an ID is
-// used again only after it has been void for several rotations.
-const keyIDs = 8
+const (
+	// keyIDs is the number of key IDs. Receivers tell IDs apart modulo 64.
+	keyIDs = 64
+	// keptKeys is the number of fabric keys in a view. Receivers need the newest
+	// three while a rotation spreads; connection IDs of long feeds need the key
+	// that was in use when their flow began.
+	keptKeys = 8
+)
 
 func (e *environment) rotateKey(command RotateKey) (Result, bool) {
 	resent := len(e.keys) > 0 && e.keys[0].Secret == command.Secret && command.Rotation+1 == e.rotations
@@ -435,7 +440,7 @@
 	}
 
 	newest := view.Key{ID: uint8(e.rotations % keyIDs), Secret: command.Secret}
-	e.keys = append([]view.Key{newest}, e.keys[:min(len(e.keys), 1)]...)
+	e.keys = append([]view.Key{newest}, e.keys[:min(len(e.keys), keptKeys-1)]...)
 	e.rotations++
 	e.affected.keys = true
 
--- a/internal/state/catalog/member_test.go
+++ b/internal/state/catalog/member_test.go
@@ -143,7 +143,9 @@
 	is.Equal(l.apply(rotate(3, 77)).Kind, KindConflict)
 
 	held := assertView(t, l.state, Trial).Keys()
-	is.Equal(len(held), 2)
-	is.Equal(held[0].Secret[0], byte(10))
-	is.Equal(held[1].Secret[0], byte(9))
+	is.Equal(len(held), keptKeys)
+
+	for i, key := range held {
+		is.Equal(key.Secret[0], byte(10-i)) // newest first, none left out
+	}
 }
