Make the claim scenario a measure

Change: testing/measure runs the claim scenario with seeds and returns runs, verdicts, reasons and violations.

--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -7,128 +7,80 @@
 	"github.com/matryer/is"
 
 	"jayspindle/internal/coordination/claim"
+	"jayspindle/internal/testing/measure"
 	"jayspindle/internal/testing/soak"
 )
 
-// TestFaults guards against a request that runs twice, a wrong "not run" and a
-// wrong replay while agents die, join, drain, lose messages and are isolated.
-func TestFaults(t *testing.T) {
-	soak.Run(t, 5, func(t *testing.T, seed uint64) {
-		w := newWorld(t, seed, 3+int(seed%6))
-		w.loss = 0.05 * float64(seed%3)
-
-		w.advance(45*time.Second, func() {
-			if w.random.IntN(10) == 0 {
-				w.newKey()
-			}
+const (
+	retention      = measure.Retention
+	maxUnconfirmed = measure.MaxUnconfirmed
+)
 
-			if w.random.IntN(300+500*int(seed%2)) == 0 {
-				w.disturb()
-			}
-		})
+// run runs a scenario and checks that no promise was broken.
+func run(t *testing.T, scenario measure.ClaimScenario, seed uint64) measure.ClaimResult {
+	t.Helper()
 
-		is.New(t).True(len(w.runs) > 0) // the faults left something to check
-	})
-}
+	result := measure.Claims(scenario, seed)
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
 
-// disturb causes one fault, or two at once.
-func (w *world) disturb() {
-	for range 1 + w.random.IntN(2) {
-		nodes := w.alive()
-		if len(nodes) < 3 {
-			w.join()
+	is := is.New(t)
+	is.True(result.Ran > 0) // the faults left something to check
+	is.True(result.Records <= scenario.Capacity)
 
-			continue
-		}
+	return result
+}
 
-		switch w.random.IntN(5) {
-		case 0:
-			w.kill(nodes[0])
-		case 1:
-			w.drain(nodes[0])
-		case 2:
-			w.isolate(1+w.random.IntN(len(nodes)-1), w.duration(time.Minute))
-		default:
-			w.join()
-		}
-	}
+// TestFaults guards against a request that runs twice, a wrong "not run" and a
+// wrong replay while agents die, join, drain, lose messages and are isolated.
+func TestFaults(t *testing.T) {
+	soak.Run(t, 5, func(t *testing.T, seed uint64) {
+		run(t, measure.ClaimScenario{
+			Agents: 3 + int(seed%6), Capacity: 4096, Duration: 45 * time.Second, Keys: 10,
+			Faults: 0.1 + 0.2*float64(seed%2), Loss: 0.05 * float64(seed%3),
+		}, seed)
+	})
 }
 
 // TestCalm guards against claims that fail without a fault, which would make
 // the randomised runs prove nothing.
 func TestCalm(t *testing.T) {
-	soak.Run(t, 1, func(t *testing.T, seed uint64) {
-		is := is.New(t)
-		w := newWorld(t, seed, 7)
-		w.advance(4*time.Second, func() { w.newKey() })
-		w.advance(10*time.Second, func() {})
-
-		is.Equal(len(w.runs), w.keys)               // every key ran
-		is.Equal(w.verdicts[claim.Unknown], 0)      // nothing was unclear
-		is.True(w.verdicts[claim.Replay] >= w.keys) // resends got the answer
-	})
+	is := is.New(t)
+	result := run(t, measure.ClaimScenario{
+		Agents: 7, Capacity: 4096, Duration: 4 * time.Second, Settle: 10 * time.Second, Keys: 100,
+	}, 1)
+	is.Equal(result.Ran, result.Keys)                       // every key ran
+	is.Equal(result.Verdicts[claim.Unknown], 0)             // nothing was unclear
+	is.True(result.Verdicts[claim.Replay] >= result.Keys/2) // resends got the answer
 }
 
 // TestRollingRestart guards against planned restarts that leave too few
 // holders: all agents are replaced within one window.
 func TestRollingRestart(t *testing.T) {
-	soak.Run(t, 1, func(t *testing.T, seed uint64) {
-		is := is.New(t)
-		w := newWorld(t, seed, 5)
-
-		for _, n := range w.nodes[:5] {
-			w.join()
-			w.advance(3*time.Second, w.newKeys(10))
-			w.drain(n)
-			w.advance(5*time.Second, w.newKeys(10))
-		}
-
-		w.advance(10*time.Second, func() {})
-		is.True(len(w.runs) >= w.keys*99/100)       // the claims went on
-		is.Equal(w.reasons[claim.ReasonHolders], 0) // with enough holders
-	})
+	is := is.New(t)
+	result := run(t, measure.ClaimScenario{
+		Agents: 4, Capacity: 4096, Duration: 35 * time.Second, Settle: 10 * time.Second, Keys: 10, Rolling: true,
+	}, 1)
+	is.True(result.Ran >= result.Keys*99/100)        // the claims went on
+	is.Equal(result.Reasons[claim.ReasonHolders], 0) // with enough holders
 }
 
 // TestLarge guards against faults that only show with many agents and
-// thousands of keys, and against stores that run full.
+// thousands of keys.
 func TestLarge(t *testing.T) {
 	soak.Run(t, 1, func(t *testing.T, seed uint64) {
-		w := newWorld(t, seed, 150)
-		w.loss = 0.02
-		w.advance(6*time.Second, func() {
-			w.newKey()
-			w.newKey()
-
-			if w.random.IntN(100) == 0 {
-				w.disturb()
-			}
-		})
-
-		w.advance(5*time.Second, func() {}) // lets callers send again
-		is.New(t).True(len(w.runs) >= w.keys*8/10)
+		result := run(t, measure.ClaimScenario{
+			Agents: 150, Capacity: 4096, Duration: 12 * time.Second, Settle: 5 * time.Second, Keys: 100, Faults: 1, Loss: 0.02,
+		}, seed)
+		is.New(t).True(result.Ran >= result.Keys*8/10)
 	})
 }
 
 // TestFull guards against a second run while the stores refuse new claims.
 func TestFull(t *testing.T) {
-	soak.Run(t, 2, func(t *testing.T, seed uint64) {
-		is := is.New(t)
-		w := newWorld(t, seed, 4, 100)
-		w.advance(40*time.Second, w.newKeys(5))
-		is.True(w.verdicts[claim.NotRun] > 100) // the bound was reached
-		is.True(len(w.runs) > 150)              // and room came back
-
-		for _, n := range w.nodes {
-			is.True(n.store.Len() <= 100)
-		}
-	})
-}
-
-// newKeys sends a new key at about every n-th step.
-func (w *world) newKeys(n int) func() {
-	return func() {
-		if w.random.IntN(n) == 0 {
-			w.newKey()
-		}
-	}
+	is := is.New(t)
+	result := run(t, measure.ClaimScenario{Agents: 4, Capacity: 100, Duration: 40 * time.Second, Keys: 20}, 1)
+	is.True(result.Verdicts[claim.NotRun] > 100) // the bound was reached
+	is.True(result.Ran > 150)                    // and room came back
 }
--- a/internal/coordination/claim/world_test.go
+++ b/internal/testing/measure/claims_world.go
@@ -1,10 +1,9 @@
-package claim_test
+package measure
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"jayspindle/internal/coordination/claim"
@@ -12,11 +11,9 @@
 )
 
 const (
-	step           = 10 * time.Millisecond
-	retention      = 20 * time.Second
-	maxUnconfirmed = 10 * time.Second
-	leaseTTL       = 3 * time.Second
-	viewLag        = 500 * time.Millisecond
+	step     = 10 * time.Millisecond // of simulated time
+	leaseTTL = 3 * time.Second
+	viewLag  = 500 * time.Millisecond // longest time until an agent has a view
 )
 
 // node is an agent with its store, history and running claims.
@@ -51,7 +48,6 @@
 // world simulates agents, links, views and callers in steps, and judges every
 // verdict against what has really been handed over.
 type world struct {
-	t        *testing.T
 	random   *rand.Rand
 	now      time.Time
 	events   map[time.Time][]func()
@@ -59,35 +55,8 @@
 	agents   []view.Agent
 	position view.Position
 	runs     map[claim.Key][]run
-	verdicts map[claim.Verdict]int
-	reasons  map[claim.Reason]int
-	loss     float64
-	keys     int
-	capacity int
-}
-
-func newWorld(t *testing.T, seed uint64, agents int, capacity ...int) *world {
-	w := &world{
-		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), events: make(map[time.Time][]func()),
-		runs: make(map[claim.Key][]run), verdicts: make(map[claim.Verdict]int), reasons: make(map[claim.Reason]int),
-		capacity: 4096,
-	}
-
-	if len(capacity) > 0 {
-		w.capacity = capacity[0]
-	}
-
-	for range agents {
-		w.start()
-	}
-
-	for _, n := range w.nodes {
-		n.history.Observe(w.now, w.position, slices.Clone(w.agents))
-		n.history.AssumeFirst(w.now)
-		n.history.Confirm(w.now)
-	}
-
-	return w
+	scenario ClaimScenario
+	result   ClaimResult
 }
 
 func (w *world) duration(limit time.Duration) time.Duration {
@@ -104,8 +73,8 @@
 	incarnation := view.Incarnation(len(w.nodes) + 1)
 	n := &node{
 		incarnation: incarnation, zone: fmt.Sprintf("zone-%d", incarnation%3), alive: true,
-		store:   claim.NewStore(incarnation, retention, w.capacity),
-		history: claim.NewHistory(w.now, retention, maxUnconfirmed),
+		store:   claim.NewStore(incarnation, Retention, w.scenario.Capacity),
+		history: claim.NewHistory(w.now, Retention, MaxUnconfirmed),
 	}
 	w.nodes = append(w.nodes, n)
 	w.agents = append(w.agents, view.Agent{Incarnation: incarnation, Zone: n.zone, State: view.Active})
@@ -198,12 +167,14 @@
 func (w *world) move(seat view.Incarnation, from, to *node) bool {
 	transfer, err := from.store.Export(w.now, seat, to.incarnation)
 	if err != nil {
-		w.t.Fatal(err)
+		w.violate("export: %v", err)
+
+		return false
 	}
 
 	if err := to.store.Import(w.now, transfer); err != nil {
 		if err := from.store.Restore(w.now, transfer); err != nil {
-			w.t.Fatal(err)
+			w.violate("restore: %v", err)
 		}
 
 		return false
@@ -211,7 +182,7 @@
 
 	for _, other := range w.nodes {
 		w.after(w.duration(viewLag), func() {
-			if other.alive && w.random.Float64() > w.loss {
+			if other.alive && w.random.Float64() > w.scenario.Loss {
 				other.history.Move(seat, to.incarnation)
 			}
 		})
@@ -269,13 +240,13 @@
 // send carries a message with loss, delay and duplicates.
 func (w *world) send(from, to *node, deliver func()) {
 	copies := 1
-	if w.random.Float64() < w.loss {
+	if w.random.Float64() < w.scenario.Loss {
 		copies = w.random.IntN(3)
 	}
 
 	for range copies {
 		delay := w.duration(4 * step)
-		if w.random.Float64() < w.loss {
+		if w.random.Float64() < w.scenario.Loss {
 			delay = w.duration(3 * time.Second)
 		}
 
@@ -309,11 +280,6 @@
 	}
 }
 
-func (w *world) newKey() {
-	w.keys++
-	w.request(claim.Key{Service: 1, Token: fmt.Sprintf("key-%d", w.keys)}, 4)
-}
-
 // advance runs the world until the duration has passed.
 func (w *world) advance(duration time.Duration, each func()) {
 	for end := w.now.Add(duration); w.now.Before(end); {
@@ -330,6 +296,7 @@
 		for _, n := range w.nodes {
 			if n.alive {
 				w.work(n)
+				w.result.Records = max(w.result.Records, n.store.Len())
 			}
 		}
 	}
@@ -364,16 +331,16 @@
 // judge compares a verdict with the hand-overs and acts on it.
 func (w *world) judge(a *attempt) {
 	decision := a.Decision()
-	w.verdicts[decision.Verdict]++
-	w.reasons[decision.Reason]++
+	w.result.Verdicts[decision.Verdict]++
+	w.result.Reasons[decision.Reason]++
 
 	switch decision.Verdict {
 	case claim.Run:
 		w.after(w.duration(100*time.Millisecond), func() { w.handOver(a) })
 	case claim.NotRun:
 		for _, r := range w.runs[a.key] {
-			if r.at.Before(a.began) && a.began.Sub(r.at) < retention {
-				w.t.Fatalf("%v: not run, but %v ran", a.key, r.execution)
+			if r.at.Before(a.began) && a.began.Sub(r.at) < Retention {
+				w.violate("%v: not run, but %v ran", a.key, r.execution)
 			}
 		}
 	case claim.Replay:
@@ -390,7 +357,7 @@
 	if !slices.ContainsFunc(w.runs[a.key], func(r run) bool {
 		return r.execution == decision.Owner && answerOf(r.execution) == string(decision.Answer.Body)
 	}) {
-		w.t.Fatalf("%v: replayed %q of %v, ran %v", a.key, decision.Answer.Body, decision.Owner, w.runs[a.key])
+		w.violate("%v: replayed %q of %v, ran %v", a.key, decision.Answer.Body, decision.Owner, w.runs[a.key])
 	}
 }
 
@@ -402,8 +369,8 @@
 	}
 
 	for _, earlier := range w.runs[a.key] {
-		if w.now.Sub(earlier.at) < retention {
-			w.t.Fatalf("%v ran twice: %v, then %v after %s", a.key, earlier.execution, a.Execution(), w.now.Sub(earlier.at))
+		if w.now.Sub(earlier.at) < Retention {
+			w.violate("%v ran twice: %v, then %v after %s", a.key, earlier.execution, a.Execution(), w.now.Sub(earlier.at))
 		}
 	}
 
