--- a/internal/testing/measure/deployment.go
+++ b/internal/testing/measure/deployment.go
@@ -1,15 +1,3 @@
-// Package measure runs the flood and imbalance scenarios of the design page in
-// simulated time and returns typed figures.
-//
-// # Usage
-//
-//	for _, deployment := range measure.Deployments() {
-//		result := measure.Flood(deployment.Flooded(measure.LeastUrgent), policy, seed)
-//		fmt.Println(result.Class("hazard-alert").InTime())
-//	}
-//
-// A scenario depends only on its seed. Policies are passed in, so that
-// benchmarks can compare the policy in use with baselines.
 package measure
 
 import (
--- a/internal/testing/measure/claims_work.go
+++ b/internal/testing/measure/executions_work.go
@@ -8,7 +8,7 @@
 )
 
 // work lets every agent send the messages of its claims and act on decisions.
-func (r *claimsRun) work(now time.Time) {
+func (r *executionRun) work(now time.Time) {
 	for _, n := range r.nodes {
 		if n.dead {
 			continue
@@ -18,17 +18,17 @@
 			n.history.Confirm(now)
 		}
 
-		n.claimants = slices.DeleteFunc(n.claimants, func(a *claimsAttempt) bool { return a.judged && a.Done(now) })
+		n.claimants = slices.DeleteFunc(n.claimants, func(a *executionAttempt) bool { return a.judged && a.Done(now) })
 
 		for _, a := range n.claimants {
 			r.advance(now, n, a)
 		}
 	}
 
-	r.at(now.Add(claimsStep), r.work)
+	r.at(now.Add(step), r.work)
 }
 
-func (r *claimsRun) advance(now time.Time, n *claimsNode, a *claimsAttempt) {
+func (r *executionRun) advance(now time.Time, n *executionNode, a *executionAttempt) {
 	a.Tick(now)
 
 	for _, message := range a.Messages(now) {
@@ -55,12 +55,12 @@
 }
 
 // carry takes a message from one agent to another, with loss and delay.
-func (r *claimsRun) carry(now time.Time, from, to *claimsNode, deliver func(now time.Time)) {
+func (r *executionRun) carry(now time.Time, from, to *executionNode, deliver func(now time.Time)) {
 	if r.lost() {
 		return
 	}
 
-	r.at(now.Add(siblingLatency+r.duration(claimsStep)), func(now time.Time) {
+	r.at(now.Add(siblingLatency+r.duration(step)), func(now time.Time) {
 		if !from.dead && !to.dead && (from == to || !from.cutOff && !to.cutOff) {
 			deliver(now)
 		}
@@ -68,8 +68,8 @@
 }
 
 // count judges every request by the last answer its caller got.
-func (r *claimsRun) count() ClaimsResult {
-	result := ClaimsResult{Requests: len(r.callers)}
+func (r *executionRun) count() ExecutionsResult {
+	result := ExecutionsResult{Requests: len(r.callers)}
 
 	for _, caller := range r.callers {
 		told := false
--- a/internal/testing/measure/flows.go
+++ b/internal/testing/measure/flows.go
@@ -1,12 +1,3 @@
-// Package measure runs seeded scenarios in simulated time and returns typed
-// figures.
-//
-// # Usage
-//
-//	result, err := measure.Flows(measure.FlowsConfig{
-//		Seed: 1, Balancers: 24, Services: 6, Agents: 120, Flows: 1500, Steps: 60, Lag: 8,
-//	})
-//	fmt.Println(result.BrokenByConnectionID, result.BrokenByModulo)
 package measure
 
 import (
--- a/internal/testing/measure/scenarios_test.go
+++ b/internal/testing/measure/scenarios_test.go
@@ -40,11 +40,11 @@
 
 // Guards against non-idempotent requests that run twice or vanish, and against
 // faults so mild that methods without claims pass as well.
-func TestClaims(t *testing.T) {
+func TestExecutions(t *testing.T) {
 	soak.Run(t, 2, func(t *testing.T, seed uint64) {
 		is := is.New(t)
-		config := measure.ClaimsConfig{Seed: seed, Agents: 7, Zones: 3, Rate: 20, Mean: 80 * time.Millisecond}
-		got := measure.Claims(config)
+		config := measure.ExecutionsConfig{Seed: seed, Agents: 7, Zones: 3, Rate: 20, Mean: 80 * time.Millisecond}
+		got := measure.Executions(config)
 		t.Logf("seed %d: %+v", seed, got)
 		is.Equal(got.Twice, 0)
 		is.Equal(got.Lost, 0)
@@ -52,11 +52,11 @@
 		is.True(got.Answered > got.Requests*9/10)
 
 		config.Method = measure.RunOnce
-		is.True(measure.Claims(config).Lost > 0)
+		is.True(measure.Executions(config).Lost > 0)
 
 		for _, method := range []measure.RunMethod{measure.RunAgain, measure.RunByMemory} {
 			config.Method = method
-			is.True(measure.Claims(config).Twice > 0)
+			is.True(measure.Executions(config).Twice > 0)
 		}
 	})
 }
