Wait for a view that contains the instance itself

Cause: an agent whose announcement was answered before its view arrived stopped with 'service is not in the document': it used the view from before the document was accepted.

Change: a member is ready once the view in force contains its incarnation.

--- a/internal/program/member/member.go
+++ b/internal/program/member/member.go
@@ -64,7 +64,7 @@
 	current     atomic.Pointer[inForce]
 	confirmed   atomic.Int64 // Unix nanoseconds
 	incarnation atomic.Uint32
-	ready       chan struct{} // closed once there is a view and an incarnation
+	ready       chan struct{} // closed once a view contains the instance
 	readyOnce   sync.Once
 }
 
@@ -162,13 +162,23 @@
 	return now.Sub(time.Unix(0, m.confirmed.Load())) <= rollout.ConfirmationLimit
 }
 
+// checkReady waits for a view that contains the instance: an older one may lack
+// its service or its keys.
 func (m *Member) checkReady() {
-	if m.current.Load() != nil && m.incarnation.Load() != 0 {
+	current, own := m.View(), m.Incarnation()
+	if current == nil || own == 0 {
+		return
+	}
+
+	_, agent := current.Agent(own)
+	_, balancer := current.Balancer(own)
+
+	if agent || balancer {
 		m.readyOnce.Do(func() { close(m.ready) })
 	}
 }
 
-// Wait returns once there is a view and an incarnation.
+// Wait returns once a view that contains the instance is in force.
 func (m *Member) Wait(ctx context.Context) error {
 	select {
 	case <-m.ready:
