Tell why requests were not answered, and when an agent knows the past

Change: the load client counts reasons; an agent logs when its history of memberships becomes complete.

--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -53,6 +53,7 @@
 	// Owned by the goroutine of run.
 	store    *claim.Store
 	history  *claim.History
+	informed bool // as of the last check of the history
 	agents   map[view.Incarnation]view.Agent
 	active   map[uint64]*activeClaim // by sequence of the execution
 	sequence uint64
@@ -166,7 +167,13 @@
 
 	c.store.Expire(now)
 
-	if !c.history.Complete(now) {
+	complete := c.history.Complete(now)
+	if complete != c.informed {
+		c.informed = complete
+		c.logger.Info("history of memberships", "complete", complete)
+	}
+
+	if !complete {
 		c.askPast(ctx)
 	}
 }
--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -219,6 +219,7 @@
 type attemptResult struct {
 	outcome       outcome
 	again         bool // sending the request again may help
+	reason        string
 	backendServer string
 	mismatched    bool
 }
@@ -246,27 +247,29 @@
 	if err != nil {
 		// Whether the request ran is not known to the caller, so only the same
 		// idempotency key makes another attempt safe.
-		return attemptResult{outcome: failed, again: true}
+		return attemptResult{outcome: failed, again: true, reason: "no response"}
 	}
 	defer response.Body.Close()
 
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return attemptResult{outcome: failed, again: true}
+		return attemptResult{outcome: failed, again: true, reason: "response broken off"}
 	}
 
 	return classify(response, echo)
 }
 
 func classify(response *http.Response, echo string) attemptResult {
+	reason := response.Header.Get("Jayspindle-Reason")
+
 	switch outcome := response.Header.Get("Jayspindle-Outcome"); {
 	case outcome == "not-run":
-		return attemptResult{outcome: notRun, again: true}
+		return attemptResult{outcome: notRun, again: true, reason: reason}
 	case outcome == "unknown":
-		return attemptResult{outcome: unknown}
+		return attemptResult{outcome: unknown, reason: reason}
 	case response.StatusCode == http.StatusConflict:
-		return attemptResult{outcome: unknown, again: true}
+		return attemptResult{outcome: unknown, again: true, reason: reason}
 	case response.StatusCode != http.StatusOK:
-		return attemptResult{outcome: failed}
+		return attemptResult{outcome: failed, reason: response.Status}
 	}
 
 	return attemptResult{
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -62,6 +62,7 @@
 	Lost           int64                       `json:"lost"`     // answered, but in no ledger
 	Phantom        int64                       `json:"phantom"`  // refused with "not run", but in a ledger
 	Recorded       int64                       `json:"recorded"` // keys in the ledgers
+	Reasons        map[string]int64            `json:"reasons"`  // of requests that were not answered, by class and reason
 
 	mutex    sync.Mutex // guards everything above
 	classes  map[string]*ClassResult
@@ -71,6 +72,7 @@
 func newResult() *Result {
 	return &Result{
 		BackendServers: make(map[string]map[string]int64),
+		Reasons:        make(map[string]int64),
 		classes:        make(map[string]*ClassResult),
 		outcomes:       make(map[string]outcome),
 	}
@@ -111,6 +113,10 @@
 		r.outcomes[key] = attempt.outcome
 	}
 
+	if attempt.outcome != answered {
+		r.Reasons[request.Class+": "+attempt.reason]++
+	}
+
 	switch attempt.outcome {
 	case answered:
 		r.recordAnswer(service, class, request, attempt, took)
@@ -245,6 +251,10 @@
 		r.Flows, r.BrokenFlows, r.FeedEvents, r.FeedGaps, r.FeedDuplicates, r.FeedMoves,
 		r.RunTwice, r.Lost, r.Phantom, r.Imbalance)
 
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(table, "%d\tnot answered, %s\t\n", r.Reasons[reason], reason)
+	}
+
 	if err := table.Flush(); err != nil {
 		return newError("write result", KindFile, err)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 
 step "the change, and one request hop by hop"
 jayspindle explain -environment production 1
-jayspindle trace -request pass-report load.trace crew-link-*.trace | head -8 || true
+(cd "$work" && "$binary" trace -request pass-report load.trace crew-link-*.trace) | head -8 || true
 
 step "$([[ $status == 0 ]] && echo 'every promise was kept' || echo "FAILED: see the table; logs are in $work")"
 exit "$status"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,6 +36,7 @@
 	for file in "$work"/*.pid; do
 		kill -KILL "$(cat "$file")" 2>/dev/null || true
 	done
+	wait 2>/dev/null # without it the shell reports each killed process
 	return 0
 }
 
