--- a/internal/state/catalog/change_test.go
+++ b/internal/state/catalog/change_test.go
@@ -160,6 +160,7 @@
 	is.Equal(l.state.CurrentOwners()[0].Key, public(1)) // bob alone changes nothing
 	is.Equal(l.ok(signOf("ann", Owners, 1, digest)).Status, Accepted)
 	is.Equal(l.state.CurrentOwners()[0].Key, next.Key)
+	assertView(t, l.state, Trial)
 
 	is.Equal(l.ok(signOf("bob", Trial, 1, document.Digest(data))).Status, Pending) // ann's old signature is void
 	l.refused(KindSignature, signOf("ann", Trial, 1, document.Digest(data)))
--- a/internal/state/catalog/fixture_test.go
+++ b/internal/state/catalog/fixture_test.go
@@ -195,7 +195,11 @@
 	t.Helper()
 
 	is := is.New(t)
-	stepwise, whole := state.View(environment), restored(t, snapshotOf(t, state)).View(environment)
+	encoded := snapshotOf(t, state)
+	copied := restored(t, encoded)
+	is.True(bytes.Equal(snapshotOf(t, copied), encoded)) // a restored state has the same bytes
+
+	stepwise, whole := state.View(environment), copied.View(environment)
 	is.Equal(stepwise.Position(), whole.Position())
 	is.Equal(stepwise.Digest(), whole.Digest()) // digest of the stepwise view
 	is.True(slices.Equal(stepwise.Agents(), whole.Agents()))
