--- a/internal/state/catalog/race_test.go
+++ b/internal/state/catalog/race_test.go
@@ -296,7 +296,7 @@
 		}
 
 		is.New(t).True(bytes.Equal(snapshotOf(t, w.state), snapshotOf(t, w.replica))) // replicas are identical
-		is.New(t).True(w.counts["accepted trial"]+w.counts["accepted owners"] > 0) // the run reached acceptances
+		is.New(t).True(w.counts["accepted trial"]+w.counts["accepted owners"] > 0)    // the run reached acceptances
 		t.Log(w.counts)
 	})
 }
