Copy the moved seats of a history that is sent

Cause: Past returned the map of moved seats itself, so a later change of the history could race with the encoding in another goroutine.

Change: Past copies the map.

Figures: the tests of coordination/claim pass under the race detector before and after; no test showed the race, it was found by reading.

Conclusion: values returned by a History no longer share its mutable state, apart from member lists, which never change.

--- a/internal/coordination/claim/history.go
+++ b/internal/coordination/claim/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -257,7 +258,7 @@
 func (h *History) Past(now time.Time) Past {
 	h.trim(now)
 
-	past := Past{Covers: now.Sub(h.since), Moved: h.moved}
+	past := Past{Covers: now.Sub(h.since), Moved: maps.Clone(h.moved)}
 	for _, m := range h.memberships {
 		era := Era{Position: m.position, Members: m.members, Replaced: !m.replacedAt.IsZero()}
 		if era.Replaced {
