Compare backend servers that were present throughout

Change: only backend servers that answered in the first and in the last tenth of the run are compared; each one's answers are in the JSON.

--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -46,6 +46,13 @@
 	latencies *hdrhistogram.Histogram
 }
 
+// ServerResult is what callers got from one backend server.
+type ServerResult struct {
+	Answers int64     `json:"answers"`
+	First   time.Time `json:"first"` // time of the first answer
+	Last    time.Time `json:"last"`  // time of the last answer
+}
+
 // Result is what a run of the load client saw.
 type Result struct {
 	Classes        []*ClassResult `json:"classes"`
@@ -55,14 +62,14 @@
 	FeedGaps       int64          `json:"feed_gaps"`
 	FeedDuplicates int64          `json:"feed_duplicates"`
 	FeedMoves      int64          `json:"feed_moves"`
-	Imbalance      float64        `json:"imbalance"` // busiest backend server over the mean
+	Imbalance      float64        `json:"imbalance"` // busiest over mean, present throughout
 	// BackendServers counts answers by service and backend server.
-	BackendServers map[string]map[string]int64 `json:"backend_servers"`
-	RunTwice       int64                       `json:"run_twice"`
-	Lost           int64                       `json:"lost"`     // answered, but in no ledger
-	Phantom        int64                       `json:"phantom"`  // refused with "not run", but in a ledger
-	Recorded       int64                       `json:"recorded"` // keys in the ledgers
-	Reasons        map[string]int64            `json:"reasons"`  // of requests that were not answered, by class and reason
+	BackendServers map[string]map[string]*ServerResult `json:"backend_servers"`
+	RunTwice       int64                               `json:"run_twice"`
+	Lost           int64                               `json:"lost"`     // answered, but in no ledger
+	Phantom        int64                               `json:"phantom"`  // refused with "not run", but in a ledger
+	Recorded       int64                               `json:"recorded"` // keys in the ledgers
+	Reasons        map[string]int64                    `json:"reasons"`  // of requests that were not answered, by class and reason
 
 	mutex    sync.Mutex // guards everything above
 	classes  map[string]*ClassResult
@@ -71,21 +78,36 @@
 
 func newResult() *Result {
 	return &Result{
-		BackendServers: make(map[string]map[string]int64),
+		BackendServers: make(map[string]map[string]*ServerResult),
 		Reasons:        make(map[string]int64),
 		classes:        make(map[string]*ClassResult),
 		outcomes:       make(map[string]outcome),
 	}
 }
 
-func (r *Result) backendServers(service string) map[string]int64 {
-	answers, ok := r.BackendServers[service]
+func (r *Result) server(service, name string) *ServerResult {
+	servers, ok := r.BackendServers[service]
+	if !ok {
+		servers = make(map[string]*ServerResult)
+		r.BackendServers[service] = servers
+	}
+
+	server, ok := servers[name]
 	if !ok {
-		answers = make(map[string]int64)
-		r.BackendServers[service] = answers
+		server = &ServerResult{}
+		servers[name] = server
+	}
+
+	return server
+}
+
+func (s *ServerResult) count(now time.Time) {
+	if s.Answers == 0 {
+		s.First = now
 	}
 
-	return answers
+	s.Answers++
+	s.Last = now
 }
 
 func (r *Result) class(name string) *ClassResult {
@@ -133,7 +155,7 @@
 	service string, class *ClassResult, request Request, attempt attemptResult, took time.Duration,
 ) {
 	class.Answered++
-	r.backendServers(service)[attempt.backendServer]++
+	r.server(service, attempt.backendServer).count(time.Now())
 
 	if took > request.Deadline {
 		class.Late++
@@ -188,21 +210,40 @@
 	}
 }
 
-// imbalance returns the busiest backend server over the mean. Backend servers
-// without any request are not known here.
-func imbalance(answers map[string]int64) float64 {
-	var total, busiest int64
+// imbalance returns the busiest backend server over the mean, for those that
+// answered in the first and in the last tenth of the time of the service: one
+// that drained or joined meanwhile has fewer answers on purpose. A backend
+// server without any answer is not known here.
+func imbalance(servers map[string]*ServerResult) float64 {
+	var first, last time.Time
 
-	for _, count := range answers {
-		total += count
-		busiest = max(busiest, count)
+	for _, server := range servers {
+		if first.IsZero() || server.First.Before(first) {
+			first = server.First
+		}
+
+		if server.Last.After(last) {
+			last = server.Last
+		}
+	}
+
+	margin := last.Sub(first) / 10
+
+	var total, busiest, count int64
+
+	for _, server := range servers {
+		if server.First.Sub(first) <= margin && last.Sub(server.Last) <= margin {
+			total += server.Answers
+			busiest = max(busiest, server.Answers)
+			count++
+		}
 	}
 
 	if total == 0 {
 		return 0
 	}
 
-	return float64(busiest) * float64(len(answers)) / float64(total)
+	return float64(busiest) * float64(count) / float64(total)
 }
 
 func milliseconds(microseconds int64) float64 {
