Let claims outlive an outage of the controllers of up to ten minutes

Cause: agents stopped claiming 30 s after the last confirmation by a leader, so every pass report would have been answered 'unknown' during a longer outage of the controllers, although traffic has to go on.

Change: maxUnconfirmed is 10 minutes, and the deadline of a non-idempotent request is capped at half of the retention, which the claim package asks for. The history window grows from 10.7 to 20.2 minutes with it.

Result: builds; the agent's behaviour without controllers is not tested yet. Ruled out: no limit at all, because agents cut off together for longer than the window could run a key that the others have forgotten.

--- a/internal/program/agent/call.go
+++ b/internal/program/agent/call.go
@@ -64,6 +64,10 @@
 	}
 
 	deadline := now.Add(class.Deadline)
+	if !class.Idempotent {
+		// An execution must end long before its claim expires.
+		deadline = now.Add(min(class.Deadline, retention/2))
+	}
 
 	if text := request.Header.Get(headerTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -8,7 +8,6 @@
 	"github.com/sourcegraph/conc"
 
 	"jayspindle/internal/coordination/claim"
-	"jayspindle/internal/coordination/rollout"
 	"jayspindle/internal/state/view"
 	"jayspindle/internal/transport/link"
 )
@@ -17,8 +16,10 @@
 	// retention is how long a claim and its stored answer are kept.
 	retention = 10 * time.Minute
 	// maxUnconfirmed is how long an agent claims on a view that no leader has
-	// confirmed. The history of memberships covers that much more.
-	maxUnconfirmed = rollout.ConfirmationLimit + 25*time.Second
+	// confirmed, so that non-idempotent requests outlive an outage of the
+	// controllers. The history of memberships covers that much more, which
+	// makes it more likely that two holders of a key were lost in between.
+	maxUnconfirmed = 10 * time.Minute
 	// defaultCapacity bounds the claims of one agent: 100 a second for the
 	// retention, at most 250 MB if every answer has the largest size.
 	defaultCapacity = 60_000
