Add the subcommand bench

Cause: the measures could only be run from Go code, and nobody could repeat them with one command.

Change: jayspindle bench prints the tables, shows progress on the standard error, and writes measures.json and measures.svg to a directory (var/bench by default).

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 SEED ?= 1
 DURATION ?= 60s
 RUN ?= .
+SEEDS ?= 5
+OUT ?= var/bench
 
 .PHONY: build demo test lint unit bench soak capacity
 
@@ -25,3 +27,6 @@
 
 soak:
 	SOAK_SEED=$(SEED) SOAK_DURATION=$(DURATION) go test -count=1 -timeout 0 -run '$(RUN)' ./internal/...
+
+bench: build
+	bin/jayspindle bench -seeds $(SEEDS) -out $(OUT)
--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -51,6 +51,7 @@
 	commander.Register(&keygenCommand{}, groupOperators)
 	commander.Register(&backendCommand{}, groupTests)
 	commander.Register(&loadCommand{}, groupTests)
+	commander.Register(&benchCommand{}, groupTests)
 
 	if err := flags.Parse(arguments[1:]); err != nil {
 		return int(exitUsage)
