Align the control messages with the catalog's commands

The catalog makes the replacement of an owner a pending change that both owners sign like any other, records a reason, and counts rotations of the fabric key so that a resend does not rotate twice.

ReplaceOwner and RotateKey now carry those fields, ChangeReply names the kind of a refusal, MembersReply names the group, and Replicate carries several messages and the sender's address. ReadIndex is new. The signed text of changes is left to package document alone.

--- /dev/null
+++ b/internal/program/controller/client.go
@@ -0,0 +1,114 @@
+package controller
+
+import (
+	"context"
+
+	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/transport/link"
+)
+
+// Client calls a controller group: the operator's commands and the membership
+// calls of instances. It follows redirects to the leader. All calls are
+// idempotent, so a call with an unknown outcome can be repeated.
+type Client struct{ link *link.Client }
+
+// NewClient returns a client of the group at the other end of a link.
+func NewClient(link *link.Client) *Client { return &Client{link: link} }
+
+func call[R any](ctx context.Context, c *Client, method string, request any) (R, error) {
+	var reply R
+
+	err := c.link.Call(ctx, method, request, &reply)
+
+	return reply, err
+}
+
+// Submit proposes a document.
+func (c *Client) Submit(ctx context.Context, request control.Submit) (control.ChangeReply, error) {
+	return call[control.ChangeReply](ctx, c, control.MethodSubmit, request)
+}
+
+// Sign accepts the pending change.
+func (c *Client) Sign(ctx context.Context, request control.Sign) (control.ChangeReply, error) {
+	return call[control.ChangeReply](ctx, c, control.MethodSign, request)
+}
+
+// Reject ends the pending change without effect.
+func (c *Client) Reject(ctx context.Context, request control.Reject) (control.ChangeReply, error) {
+	return call[control.ChangeReply](ctx, c, control.MethodReject, request)
+}
+
+// Promote submits a document accepted in trial to production.
+func (c *Client) Promote(ctx context.Context, request control.Promote) (control.ChangeReply, error) {
+	return call[control.ChangeReply](ctx, c, control.MethodPromote, request)
+}
+
+// ReplaceOwner proposes another name or key of an owner.
+func (c *Client) ReplaceOwner(ctx context.Context, request control.ReplaceOwner) (control.ChangeReply, error) {
+	return call[control.ChangeReply](ctx, c, control.MethodReplaceOwner, request)
+}
+
+// Status describes an environment.
+func (c *Client) Status(ctx context.Context, environment string) (control.StatusReply, error) {
+	return call[control.StatusReply](ctx, c, control.MethodStatus, control.Status{Environment: environment})
+}
+
+// History lists the newest changes of an environment.
+func (c *Client) History(ctx context.Context, environment string, limit uint16) (control.HistoryReply, error) {
+	return call[control.HistoryReply](ctx, c, control.MethodHistory,
+		control.History{Environment: environment, Limit: limit})
+}
+
+// Explain tells the story of a change, named by its ID or its version.
+func (c *Client) Explain(ctx context.Context, environment, topic string) (control.ExplainReply, error) {
+	return call[control.ExplainReply](ctx, c, control.MethodExplain,
+		control.Explain{Environment: environment, Topic: topic})
+}
+
+// Members lists the controllers.
+func (c *Client) Members(ctx context.Context) (control.MembersReply, error) {
+	return c.members(ctx, control.MembersList, control.Member{})
+}
+
+// AddMember adds a replica as a learner.
+func (c *Client) AddMember(ctx context.Context, member control.Member) (control.MembersReply, error) {
+	return c.members(ctx, control.MembersAdd, member)
+}
+
+// PromoteMember makes a learner that has caught up a voter.
+func (c *Client) PromoteMember(ctx context.Context, replica uint64) (control.MembersReply, error) {
+	return c.members(ctx, control.MembersPromote, control.Member{Replica: replica})
+}
+
+// RemoveMember removes a replica.
+func (c *Client) RemoveMember(ctx context.Context, replica uint64) (control.MembersReply, error) {
+	return c.members(ctx, control.MembersRemove, control.Member{Replica: replica})
+}
+
+func (c *Client) members(
+	ctx context.Context, action control.MembersAction, member control.Member,
+) (control.MembersReply, error) {
+	return call[control.MembersReply](ctx, c, control.MethodMembers, control.Members{Action: action, Member: member})
+}
+
+// RotateKey makes a new fabric key the newest. Rotation is the number of
+// rotations so far, from Status.
+func (c *Client) RotateKey(ctx context.Context, environment string, rotation uint64) (control.RotateKeyReply, error) {
+	return call[control.RotateKeyReply](ctx, c, control.MethodRotateKey,
+		control.RotateKey{Environment: environment, Rotation: rotation})
+}
+
+// Announce makes an instance known.
+func (c *Client) Announce(ctx context.Context, request control.Announce) (control.AnnounceReply, error) {
+	return call[control.AnnounceReply](ctx, c, control.MethodAnnounce, request)
+}
+
+// Renew extends leases.
+func (c *Client) Renew(ctx context.Context, request control.Renew) (control.RenewReply, error) {
+	return call[control.RenewReply](ctx, c, control.MethodRenew, request)
+}
+
+// Leave starts or ends the planned stop of an instance.
+func (c *Client) Leave(ctx context.Context, request control.Leave) (control.LeaveReply, error) {
+	return call[control.LeaveReply](ctx, c, control.MethodLeave, request)
+}
--- /dev/null
+++ b/internal/program/controller/settings.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"jayspindle/internal/state/catalog"
+	"jayspindle/internal/transport/identity"
+)
+
+// Settings configures a controller. Bootstrap and Owners are only used while
+// the data directory is new: exactly one controller of a new group has
+// Bootstrap set, all others join it through Peers.
+type Settings struct {
+	Name      string         `yaml:"name" validate:"required,max=63"`
+	Data      string         `yaml:"data" validate:"required"`                   // directory
+	Listen    netip.AddrPort `yaml:"listen" validate:"required"`                 // UDP, as the others reach it
+	Peers     []string       `yaml:"peers" validate:"max=20,dive,hostname_port"` // the other controllers
+	Identity  identity.Files `yaml:"identity" validate:"required"`               // files
+	Bootstrap bool           `yaml:"bootstrap"`                                  // found a group
+	Owners    []Owner        `yaml:"owners" validate:"required_if=Bootstrap true,omitempty,len=2,dive"`
+	Debug     string         `yaml:"debug" validate:"omitempty,hostname_port"` // TCP on loopback, expvar
+}
+
+// Owner is a founding co-owner.
+type Owner struct {
+	Name string `yaml:"name" validate:"required,max=63"`
+	Key  string `yaml:"key" validate:"required"` // "ed25519:BASE64"
+}
+
+// Load reads a settings file.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, newError("load", KindSettings, err)
+	}
+
+	return Parse(content)
+}
+
+// Parse decodes settings strictly: an unknown key is an error.
+func Parse(content []byte) (Settings, error) {
+	var settings Settings
+
+	decoder := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict(), yaml.Validator(validator.New()))
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, newError("parse", KindSettings, err)
+	}
+
+	return settings, settings.check()
+}
+
+func (s Settings) check() error {
+	if err := validator.New().Struct(s); err != nil {
+		return newError("check", KindSettings, err)
+	}
+
+	if !s.Listen.IsValid() || s.Listen.Addr().IsUnspecified() {
+		return newError("check", KindSettings, errors.Errorf("listen is %s, but others must be able to reach it", s.Listen))
+	}
+
+	if _, err := s.peers(); err != nil {
+		return err
+	}
+
+	if s.Debug != "" {
+		debug, err := netip.ParseAddrPort(s.Debug)
+		if err != nil || !debug.Addr().IsLoopback() {
+			return newError("check", KindSettings, errors.Errorf("debug is %q, allowed is a loopback address", s.Debug))
+		}
+	}
+
+	if s.Bootstrap {
+		_, err := s.founders()
+
+		return err
+	}
+
+	return nil
+}
+
+// peers returns the addresses of the other controllers.
+func (s Settings) peers() ([]netip.AddrPort, error) {
+	peers := make([]netip.AddrPort, 0, len(s.Peers))
+
+	for _, text := range s.Peers {
+		peer, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, newError("check", KindSettings, errors.Annotatef(err, "peer %q", text))
+		}
+
+		if peer != s.Listen {
+			peers = append(peers, peer)
+		}
+	}
+
+	return peers, nil
+}
+
+// founders returns the founding owners.
+func (s Settings) founders() ([2]catalog.Owner, error) {
+	var owners [2]catalog.Owner
+
+	if len(s.Owners) != len(owners) {
+		return owners, newError("check", KindSettings, errors.Errorf("%d owners instead of %d", len(s.Owners), len(owners)))
+	}
+
+	for i, owner := range s.Owners {
+		key, err := identity.ParsePublicKey(owner.Key)
+		if err != nil {
+			return owners, newError("check", KindSettings, errors.Annotatef(err, "owner %q", owner.Name))
+		}
+
+		owners[i] = catalog.Owner{Name: owner.Name, Key: key}
+	}
+
+	return owners, nil
+}
--- a/internal/protocol/control/change.go
+++ b/internal/protocol/control/change.go
@@ -1,25 +1,6 @@
 package control
 
-import (
-	"fmt"
-	"time"
-)
-
-// Decision is what an owner signs about a change.
-type Decision string
-
-// The decisions.
-const (
-	Accept Decision = "accept"
-	Refuse Decision = "reject"
-)
-
-// SignedText returns the text that an owner signs. Environment, version and
-// digest (SHA-256 of the document) are all in it, so that a signature cannot
-// be replayed for another change.
-func SignedText(environment string, version uint64, digest []byte, decision Decision) []byte {
-	return fmt.Appendf(nil, "jayspindle change\n%s\n%d\n%x\n%s\n", environment, version, digest, decision)
-}
+import "time"
 
 // Submit proposes a document as version Base+1.
 type Submit struct {
@@ -27,7 +8,8 @@
 	Base        uint64 `cbor:"2,keyasint"`
 	ChangeID    string `cbor:"3,keyasint"` // chosen by the author; a resend gets the first reply
 	Author      string `cbor:"4,keyasint"`
-	Document    []byte `cbor:"5,keyasint"`
+	Reason      string `cbor:"5,keyasint,omitempty"`
+	Document    []byte `cbor:"6,keyasint"`
 }
 
 // Check reports the first field out of bounds.
@@ -37,12 +19,14 @@
 		that(s.ChangeID != "", "change ID is empty").
 		optional("change ID", s.ChangeID, MaxChangeID).
 		name("author", s.Author).
+		optional("reason", s.Reason, MaxReason).
 		that(len(s.Document) > 0 && len(s.Document) <= MaxDocument,
 			"document has %d bytes, 1 to %d are allowed", len(s.Document), MaxDocument).
 		err
 }
 
-// Sign accepts the pending change with an owner's signature over SignedText.
+// Sign accepts the pending change with an owner's signature over
+// document.SignedText.
 type Sign struct {
 	Environment string `cbor:"1,keyasint"`
 	Version     uint64 `cbor:"2,keyasint"`
@@ -67,8 +51,7 @@
 	Version     uint64 `cbor:"2,keyasint"`
 	Digest      []byte `cbor:"3,keyasint"`
 	Owner       string `cbor:"4,keyasint"`
-	Reason      string `cbor:"5,keyasint,omitempty"`
-	Signature   []byte `cbor:"6,keyasint"` // over SignedText with Refuse
+	Signature   []byte `cbor:"5,keyasint"` // over document.SignedText
 }
 
 // Check reports the first field out of bounds.
@@ -77,7 +60,6 @@
 		name("environment", r.Environment).
 		exactly("digest", r.Digest, digestBytes).
 		name("owner", r.Owner).
-		optional("reason", r.Reason, MaxReason).
 		exactly("signature", r.Signature, signatureBytes).
 		err
 }
@@ -88,6 +70,7 @@
 	Digest   []byte `cbor:"2,keyasint"` // accepted in trial
 	ChangeID string `cbor:"3,keyasint"`
 	Author   string `cbor:"4,keyasint"`
+	Reason   string `cbor:"5,keyasint,omitempty"`
 }
 
 // Check reports the first field out of bounds.
@@ -97,6 +80,7 @@
 		that(p.ChangeID != "", "change ID is empty").
 		optional("change ID", p.ChangeID, MaxChangeID).
 		name("author", p.Author).
+		optional("reason", p.Reason, MaxReason).
 		err
 }
 
@@ -134,71 +118,46 @@
 		optional("reason", c.Reason, MaxReason)
 }
 
-// ChangeReply is the reply to Submit, Sign, Reject and Promote.
+// ChangeReply is the reply to Submit, Sign, Reject, Promote and ReplaceOwner.
 type ChangeReply struct {
 	State   ChangeState `cbor:"1,keyasint"`
 	Change  Change      `cbor:"2,keyasint"`           // the caller's change; of a conflict, the one that won
-	Message string      `cbor:"3,keyasint,omitempty"` // why a change is invalid or conflicts
-	Leader  string      `cbor:"4,keyasint,omitempty"` // name of the controller that answered
+	Refusal string      `cbor:"3,keyasint,omitempty"` // kind of a refusal
+	Message string      `cbor:"4,keyasint,omitempty"` // why a change is refused
+	Leader  string      `cbor:"5,keyasint,omitempty"` // name of the controller that answered
 }
 
 // Check reports the first field out of bounds.
 func (c *ChangeReply) Check() error {
 	return c.Change.limits(check("change reply")).
 		optional("state", string(c.State), MaxName).
+		optional("refusal", c.Refusal, MaxName).
 		optional("message", c.Message, MaxDocument).
 		optional("leader", c.Leader, MaxName).
 		err
 }
 
-// ReplaceOwner replaces an owner's key. Both owners sign it, the one to be
-// replaced with the old key.
+// ReplaceOwner makes the replacement of an owner's name and key pending. Both
+// owners sign it, the one to be replaced with the old key.
 type ReplaceOwner struct {
-	Owner      string   `cbor:"1,keyasint"`
-	PublicKey  []byte   `cbor:"2,keyasint"`
-	ChangeID   string   `cbor:"3,keyasint"`
-	Signers    []string `cbor:"4,keyasint"`
-	Signatures [][]byte `cbor:"5,keyasint"` // over SignedText, in the order of Signers
+	Base      uint64 `cbor:"1,keyasint"` // version of the owners in force
+	ChangeID  string `cbor:"2,keyasint"`
+	Author    string `cbor:"3,keyasint"`
+	Reason    string `cbor:"4,keyasint,omitempty"`
+	Owner     string `cbor:"5,keyasint"` // to be replaced
+	NewName   string `cbor:"6,keyasint"` // may be the old name
+	PublicKey []byte `cbor:"7,keyasint"`
 }
 
 // Check reports the first field out of bounds.
 func (r *ReplaceOwner) Check() error {
-	limits := check("replace owner").
+	return check("replace owner").
 		name("owner", r.Owner).
+		name("new name", r.NewName).
 		exactly("public key", r.PublicKey, publicKeyBytes).
 		that(r.ChangeID != "", "change ID is empty").
 		optional("change ID", r.ChangeID, MaxChangeID).
-		atMost("signers", len(r.Signers), MaxSigners).
-		that(len(r.Signers) == len(r.Signatures), "%d signers with %d signatures", len(r.Signers), len(r.Signatures))
-
-	for _, signer := range r.Signers {
-		limits.name("signer", signer)
-	}
-
-	for _, signature := range r.Signatures {
-		limits.exactly("signature", signature, signatureBytes)
-	}
-
-	return limits.err
-}
-
-// SignedText returns the text that both owners sign.
-func (r *ReplaceOwner) SignedText() []byte {
-	return fmt.Appendf(nil, "jayspindle owner\n%s\n%x\n%s\n", r.Owner, r.PublicKey, r.ChangeID)
-}
-
-// ReplaceOwnerReply states the result.
-type ReplaceOwnerReply struct {
-	State   ChangeState `cbor:"1,keyasint"`
-	Message string      `cbor:"2,keyasint,omitempty"`
-	Leader  string      `cbor:"3,keyasint,omitempty"`
-}
-
-// Check reports the first field out of bounds.
-func (r *ReplaceOwnerReply) Check() error {
-	return check("replace owner reply").
-		optional("state", string(r.State), MaxName).
-		optional("message", r.Message, MaxReason).
-		optional("leader", r.Leader, MaxName).
+		name("author", r.Author).
+		optional("reason", r.Reason, MaxReason).
 		err
 }
--- a/internal/protocol/control/control.go
+++ b/internal/protocol/control/control.go
@@ -28,12 +28,13 @@
 	MethodSign         = "sign"          // Sign, ChangeReply
 	MethodReject       = "reject"        // Reject, ChangeReply
 	MethodPromote      = "promote"       // Promote, ChangeReply
-	MethodReplaceOwner = "replace-owner" // ReplaceOwner, ReplaceOwnerReply
+	MethodReplaceOwner = "replace-owner" // ReplaceOwner, ChangeReply
 	MethodStatus       = "status"        // Status, StatusReply
 	MethodHistory      = "history"       // History, HistoryReply
 	MethodExplain      = "explain"       // Explain, ExplainReply
 	MethodMembers      = "members"       // Members, MembersReply
 	MethodRotateKey    = "rotate-key"    // RotateKey, RotateKeyReply
+	MethodReadIndex    = "read-index"    // ReadIndex, ReadIndexReply, between controllers
 	MethodReplicate    = "replicate"     // Replicate, between controllers
 )
 
@@ -46,12 +47,12 @@
 	MaxRenewals  = 4096    // renewals in one batch
 	MaxHistory   = 256     // versions in one reply
 	MaxSigners   = 2       // signatures of one change: there are two owners
-	MaxMembers   = 10      // controllers in a group
+	MaxMembers   = 20      // controllers in a group and their replacements
 	MaxTopic     = 1024    // bytes of a question to Explain
 	MaxLines     = 1024    // lines of an explanation
 	MaxChunk     = 1 << 18 // bytes of a view in one Update
 	MaxChunks    = 256     // chunks of one view, that is 64 MiB
-	MaxReplicate = 3 << 19 // bytes of one message between replicas; a document fits, and so does the envelope of the frame
+	MaxReplicate = 3 << 19 // bytes of messages between replicas; a document fits, and a frame holds the rest
 
 	signatureBytes = 64
 	publicKeyBytes = 32
--- a/internal/protocol/control/operator.go
+++ b/internal/protocol/control/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"jayspindle/internal/state/view"
 )
@@ -29,7 +28,8 @@
 	Balancers   uint32        `cbor:"10,keyasint"`
 	// InForce counts the instances that reported the position, or a later one,
 	// with their last renewal.
-	InForce uint32 `cbor:"11,keyasint"`
+	InForce  uint32 `cbor:"11,keyasint"`
+	Rotation uint64 `cbor:"12,keyasint"` // fabric keys rotated so far
 }
 
 // Check reports the first field out of bounds.
@@ -108,8 +108,9 @@
 
 // The actions on the controller group. Membership changes one at a time.
 const (
-	MembersList    MembersAction = "list"
-	MembersAdd     MembersAction = "add" // as a learner
+	MembersList    MembersAction = "list" // as the leader knows them
+	MembersHere    MembersAction = "here" // as the controller that is asked knows them
+	MembersAdd     MembersAction = "add"  // as a learner
 	MembersPromote MembersAction = "promote"
 	MembersRemove  MembersAction = "remove"
 )
@@ -131,7 +132,7 @@
 
 // Check reports the first field out of bounds.
 func (m *Members) Check() error {
-	list := m.Action == MembersList
+	list := m.Action == MembersList || m.Action == MembersHere
 
 	return check("members").
 		that(list || m.Action == MembersAdd || m.Action == MembersPromote || m.Action == MembersRemove,
@@ -146,6 +147,11 @@
 type MembersReply struct {
 	Members []Member `cbor:"1,keyasint"`
 	Leader  string   `cbor:"2,keyasint"`
+	// Cluster and Generation name the group, 0 if the controller belongs to none.
+	Cluster    uint64 `cbor:"3,keyasint"`
+	Generation uint64 `cbor:"4,keyasint"`
+	// Founding states that the controller waits to found a group.
+	Founding bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Check reports the first field out of bounds.
@@ -159,23 +165,19 @@
 // RotateKey asks for a new fabric key. The leader creates the secret.
 type RotateKey struct {
 	Environment string `cbor:"1,keyasint"`
-	ChangeID    string `cbor:"2,keyasint"`
+	Rotation    uint64 `cbor:"2,keyasint"` // rotations so far, so that a resend does not rotate twice
 }
 
 // Check reports the first field out of bounds.
 func (r *RotateKey) Check() error {
-	return check("rotate key").
-		name("environment", r.Environment).
-		that(r.ChangeID != "", "change ID is empty").
-		optional("change ID", r.ChangeID, MaxChangeID).
-		err
+	return check("rotate key").name("environment", r.Environment).err
 }
 
 // RotateKeyReply states the key in use, without its secret.
 type RotateKeyReply struct {
-	KeyID  uint8     `cbor:"1,keyasint"`
-	Time   time.Time `cbor:"2,keyasint"`
-	Leader string    `cbor:"3,keyasint"`
+	KeyID    uint8  `cbor:"1,keyasint"`
+	Rotation uint64 `cbor:"2,keyasint"` // rotations so far
+	Leader   string `cbor:"3,keyasint"`
 }
 
 // Check reports the first field out of bounds.
@@ -183,15 +185,38 @@
 	return check("rotate key reply").optional("leader", r.Leader, MaxName).err
 }
 
-// Replicate carries one message of the replicated log between controllers.
+// ReadIndex asks the leader for the log index that a read at another
+// controller must wait for.
+type ReadIndex struct{}
+
+// Check accepts every request.
+func (r *ReadIndex) Check() error { return nil }
+
+// ReadIndexReply states the index that a quorum confirmed.
+type ReadIndexReply struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+// Check accepts every reply.
+func (r *ReadIndexReply) Check() error { return nil }
+
+// Replicate carries messages of the replicated log between controllers.
 type Replicate struct {
-	Message []byte `cbor:"1,keyasint"`
+	Replica  uint64         `cbor:"1,keyasint"` // sender
+	Address  netip.AddrPort `cbor:"2,keyasint"` // where the sender listens
+	Messages [][]byte       `cbor:"3,keyasint"`
 }
 
 // Check reports the first field out of bounds.
 func (r *Replicate) Check() error {
+	total := 0
+	for _, message := range r.Messages {
+		total += len(message)
+	}
+
 	return check("replicate").
-		that(len(r.Message) > 0 && len(r.Message) <= MaxReplicate,
-			"message has %d bytes, 1 to %d are allowed", len(r.Message), MaxReplicate).
+		that(r.Replica != 0, "replica is 0").
+		that(r.Address.IsValid(), "address is %s", r.Address).
+		that(total > 0 && total <= MaxReplicate, "messages have %d bytes, 1 to %d are allowed", total, MaxReplicate).
 		err
 }
