--- a/internal/program/controller/controller.go
+++ b/internal/program/controller/controller.go
@@ -34,6 +34,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -78,6 +79,7 @@
 	publishers map[string]*rollout.Publisher
 	network    *network
 	random     *rand.Rand
+	leading    *atomic.Bool
 }
 
 // New opens the data directory and binds the listen address. The controller
@@ -117,6 +119,7 @@
 		publishers: make(map[string]*rollout.Publisher),
 		network:    newNetwork(store, random, logger),
 		random:     random,
+		leading:    new(atomic.Bool),
 	}
 
 	for _, environment := range environments {
@@ -131,6 +134,10 @@
 // Address returns the address of the control link.
 func (c *Controller) Address() netip.AddrPort { return c.server.Address() }
 
+// Leading reports whether this controller leads the group, or led it when it
+// stopped.
+func (c *Controller) Leading() bool { return c.leading.Load() }
+
 // Publisher returns the publisher of an environment, nil if there is none.
 func (c *Controller) Publisher(environment string) *rollout.Publisher {
 	return c.publishers[environment]
@@ -223,6 +230,7 @@
 		name:       c.settings.Name,
 		address:    c.server.Address(),
 		founding:   c.settings.Bootstrap,
+		published:  c.leading,
 		logger:     c.logger,
 		log:        c.log,
 		random:     rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64())),
--- a/internal/program/controller/controller_test.go
+++ b/internal/program/controller/controller_test.go
@@ -67,7 +67,10 @@
 	g.accept(operator, 0, "change-1", first)
 	g.eventually("version 1 is in force at a subscriber of a follower", func() bool { return subscriber.version() == 1 })
 
-	is.NoErr(g.running[g.leader()].stop())
+	former := g.running[g.leader()]
+	is.True(former.Leading())
+	is.NoErr(former.stop())
+	is.True(!former.Leading()) // it handed over before it stopped
 
 	reply, err := operator.Submit(g.ctx, submission(0, "change-1", "ann", first))
 	is.NoErr(err)
@@ -142,6 +145,10 @@
 			cut.inbox <- question
 			is.Equal((<-read).Index, uint64(0)) // no read is served
 
+			lease := make(chan renewed, 1)
+			cut.inbox <- &renew{request: control.Renew{Environment: catalog.Trial}, reply: lease}
+			is.True((<-lease).err != nil) // no lease is extended
+
 			snapshot, _ := cut.Publisher(catalog.Trial).Snapshot()
 			is.Equal(snapshot.View().Version(), uint64(0))
 			is.True(snapshot.ConfirmedAt().Before(accepted))
--- a/internal/program/controller/lead.go
+++ b/internal/program/controller/lead.go
@@ -38,6 +38,7 @@
 
 	if leading != o.leading {
 		o.leading, o.duties, o.confirmedAt = leading, duties{keyAsked: make(map[string]bool)}, time.Time{}
+		o.published.Store(leading)
 		o.logger.Info("leadership changed", "leading", leading, "term", status.Term)
 
 		if leading {
--- a/internal/program/controller/owner.go
+++ b/internal/program/controller/owner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -57,7 +58,8 @@
 	captured  uint64 // index of the last snapshot
 
 	leading     bool
-	confirmedAt time.Time // last time a quorum confirmed this leader
+	published   *atomic.Bool // leading, for other goroutines
+	confirmedAt time.Time    // last time a quorum confirmed this leader
 	duties      duties
 	handOver    chan struct{}
 	failure     error
