--- a/internal/cli/cmd/controller.go
+++ b/internal/cli/cmd/controller.go
@@ -10,10 +10,23 @@
 	"jayspindle/internal/program/controller"
 	"jayspindle/internal/program/telemetry"
 	"jayspindle/internal/state/settings"
+	"jayspindle/internal/transport/identity"
 )
 
 type controllerCommand struct{ settings string }
 
+// controllerSettings adds to the settings of the controller what all programs have.
+type controllerSettings struct {
+	Zone                string             `yaml:"zone" validate:"required,hostname_rfc1123"`
+	Telemetry           telemetry.Settings `yaml:"telemetry"`
+	controller.Settings `yaml:",inline"`
+}
+
+// instance names the controller in logs and traces.
+func (s *controllerSettings) instance() settings.Instance {
+	return settings.Instance{Name: s.Name, Environment: identity.AllEnvironments, Zone: s.Zone}
+}
+
 func (*controllerCommand) Name() string { return "controller" }
 
 func (*controllerCommand) Synopsis() string { return "run a controller on an instance with a disk" }
@@ -34,18 +47,18 @@
 		return usage("controller: -settings is missing")
 	}
 
-	config, err := settings.Load[controller.Settings](c.settings)
+	config, err := settings.Load[controllerSettings](c.settings)
 	if err != nil {
 		return fail(err)
 	}
 
-	observed, err := telemetry.New(config.Telemetry, "controller", config.Instance())
+	observed, err := telemetry.New(config.Telemetry, "controller", config.instance())
 	if err != nil {
 		return fail(err)
 	}
 	defer observed.Close(context.WithoutCancel(ctx))
 
-	process, err := controller.New(*config, observed.Logger(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	process, err := controller.New(config.Settings, observed.Logger(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/cli/cmd/reject.go
+++ b/internal/cli/cmd/reject.go
@@ -11,10 +11,7 @@
 	"jayspindle/internal/state/document"
 )
 
-type rejectCommand struct {
-	signature
-	reason string
-}
+type rejectCommand struct{ signature }
 
 func (*rejectCommand) Name() string { return "reject" }
 
@@ -29,10 +26,7 @@
 `
 }
 
-func (c *rejectCommand) SetFlags(flags *flag.FlagSet) {
-	c.setSignFlags(flags)
-	flags.StringVar(&c.reason, "reason", "", "why, for the history")
-}
+func (c *rejectCommand) SetFlags(flags *flag.FlagSet) { c.setSignFlags(flags) }
 
 func (c *rejectCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
@@ -46,7 +40,6 @@
 			Version:     change.Version,
 			Digest:      change.Digest,
 			Owner:       c.owner,
-			Reason:      c.reason,
 			Signature:   signed,
 		})
 
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -69,7 +69,7 @@
 	Lost           int64                               `json:"lost"`     // answered, but in no ledger
 	Phantom        int64                               `json:"phantom"`  // refused with "not run", but in a ledger
 	Recorded       int64                               `json:"recorded"` // keys in the ledgers
-	Reasons        map[string]int64                    `json:"reasons"`  // of requests that were not answered, by class and reason
+	Reasons        map[string]int64                    `json:"reasons"`  // why requests were not answered
 
 	mutex    sync.Mutex // guards everything above
 	classes  map[string]*ClassResult
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,6 +14,7 @@
 	shift
 	(cd "$work" && exec "$binary" "$@" >>"$name.out" 2>>"$name.log") &
 	echo $! >"$work/$name.pid"
+	disown # the shell would report each process that is killed
 }
 
 # pid NAME: prints the process id.
@@ -36,7 +37,6 @@
 	for file in "$work"/*.pid; do
 		kill -KILL "$(cat "$file")" 2>/dev/null || true
 	done
-	wait 2>/dev/null # without it the shell reports each killed process
 	return 0
 }
 
