Expect a suspended agent after its lease expires

Cause: TestMembership waited for an expired agent to leave the view. Since members are suspended, it stays for its established flows, so the expectation was wrong.

Change: the test now demands the state suspended, the same incarnation after another announcement, the state active and a lease that can be renewed, which is more than it asked before.

--- a/internal/program/controller/controller_test.go
+++ b/internal/program/controller/controller_test.go
@@ -262,5 +262,22 @@
 	_, err = operator.RotateKey(g.ctx, catalog.Trial, status.Rotation)
 	is.Equal(link.KindOf(err), link.KindConflict) // a resend does not rotate twice
 
-	g.eventually("the lease expires", func() bool { return len(subscriber.current.Load().Agents()) == 0 })
+	inState := func(state view.State) func() bool {
+		return func() bool {
+			shown, ok := subscriber.current.Load().Agent(first.Incarnation)
+
+			return ok && shown.State == state
+		}
+	}
+
+	g.eventually("the lease expires", inState(view.Suspended))
+
+	resumed, err := agent.Announce(g.ctx, announce)
+	is.NoErr(err)
+	is.Equal(resumed.Incarnation, first.Incarnation) // flows to the agent stay reachable
+	g.eventually("the agent is active again", inState(view.Active))
+
+	reply, err := agent.Renew(g.ctx, renewal)
+	is.NoErr(err)
+	is.Equal(reply.Unknown, []view.Incarnation{first.Incarnation + 1}) // the lease was granted again
 }
