Give suspended members no lease without another announcement

Cause: found while reading: the leader reconciled its lease table with every member of the view. Suspended ones got a lease again every 3 s, so a member that was cut off would renew it, never announce again and stay suspended, and the log would get an Expire entry every 3 s.

Change: members leaves suspended ones out; every ten minutes an empty Expire lets the catalog forget those suspended for an hour.

--- a/internal/program/controller/lead.go
+++ b/internal/program/controller/lead.go
@@ -20,6 +20,10 @@
 	// rampInterval is the time after which the weight of an agent that flapped
 	// doubles: it takes its full share after 7 s.
 	rampInterval = time.Second
+
+	// forgetInterval is the time between two commands that let the catalog
+	// forget members which have been suspended for long.
+	forgetInterval = 10 * time.Minute
 )
 
 // duties remembers when a leader last did its regular work.
@@ -27,6 +31,7 @@
 	confirm    time.Time
 	ramp       time.Time
 	reconcile  time.Time
+	forget     time.Time
 	keyAsked   map[string]bool
 	confirming bool
 }
@@ -52,6 +57,7 @@
 
 	o.confirmByQuorum(now)
 	o.expire(now)
+	o.forgetSuspended(now)
 	o.rampUp(now)
 	o.foundKeys(now)
 }
@@ -71,15 +77,21 @@
 	}
 }
 
+// members returns the incarnations that hold a lease. A suspended one gets its
+// lease back by another announcement only.
 func members(current *view.View) []view.Incarnation {
 	var incarnations []view.Incarnation
 
 	for _, agent := range current.Agents() {
-		incarnations = append(incarnations, agent.Incarnation)
+		if agent.State != view.Suspended {
+			incarnations = append(incarnations, agent.Incarnation)
+		}
 	}
 
 	for _, balancer := range current.Balancers() {
-		incarnations = append(incarnations, balancer.Incarnation)
+		if balancer.State != view.Suspended {
+			incarnations = append(incarnations, balancer.Incarnation)
+		}
 	}
 
 	return incarnations
@@ -155,6 +167,23 @@
 	}
 }
 
+// forgetSuspended lets the catalog drop members that have been suspended for
+// long. An Expire command without incarnations does that and nothing else.
+func (o *owner) forgetSuspended(now time.Time) {
+	if now.Sub(o.duties.forget) < forgetInterval {
+		return
+	}
+
+	o.duties.forget = now
+
+	for environment := range o.leases {
+		current := o.state.View(environment)
+		if len(members(current)) < len(current.Agents())+len(current.Balancers()) {
+			o.proposeOwn(now, catalog.Command{Expire: &catalog.Expire{Environment: environment}})
+		}
+	}
+}
+
 // rampUp doubles the weights of agents that started low because they flapped.
 func (o *owner) rampUp(now time.Time) {
 	if now.Sub(o.duties.ramp) < rampInterval {
