Show for every instance what is in force and since when

Cause: status only counted instances, explain did not say where a change had arrived, and a learner without any state could be promoted while the log was short (found by the developer of the controller).

Change: StatusReply lists instances in pages of 4,096, the client fetches all; explain adds where the change is in force; a learner with nothing stored is not caught up; promote takes a reason.

The rule for learners has no test of its own: the tests' learner without state is not responsive either, which refuses it for that reason already.

--- a/internal/cli/cmd/operator.go
+++ b/internal/cli/cmd/operator.go
@@ -133,8 +133,12 @@
 func showChange(reply control.ChangeReply) func() {
 	return func() {
 		change := reply.Change
-		fmt.Printf("%s: change %s, version %d, digest %x, author %s, signed by %v\n",
-			reply.State, change.ChangeID, change.Version, change.Digest, change.Author, change.Signers)
+		fmt.Printf("%s: version %d, digest %x, signed by %d of 2 %v\n",
+			reply.State, change.Version, change.Digest, len(change.Signers), change.Signers)
+
+		if change.ChangeID != "" {
+			fmt.Printf("change %s by %s\n", change.ChangeID, change.Author)
+		}
 
 		if reply.Message != "" {
 			fmt.Println(reply.Message)
--- a/internal/cli/cmd/promote.go
+++ b/internal/cli/cmd/promote.go
@@ -15,6 +15,7 @@
 	change string
 	author string
 	base   string
+	reason string
 }
 
 func (*promoteCommand) Name() string { return "promote" }
@@ -34,6 +35,7 @@
 	c.setFlags(flags)
 	flags.StringVar(&c.change, "change", "", "change `ID`, random if empty")
 	flags.StringVar(&c.author, "author", "", "co-owner in whose name the change is made")
+	flags.StringVar(&c.reason, "reason", "", "why, for the history")
 	flags.StringVar(&c.base, "base", "", "`version` of production that the change builds on")
 }
 
@@ -58,6 +60,7 @@
 			Digest:   trial.Digest,
 			ChangeID: changeID(c.change),
 			Author:   c.author,
+			Reason:   c.reason,
 		})
 
 		return reply, showChange(reply), err
--- a/internal/cli/cmd/status.go
+++ b/internal/cli/cmd/status.go
@@ -4,6 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -50,10 +53,30 @@
 
 	if reply.Pending == nil {
 		fmt.Println("pending      nothing")
+	} else {
+		fmt.Printf("pending      version %d, digest %x, author %s, signed by %v\n",
+			reply.Pending.Version, reply.Pending.Digest, reply.Pending.Author, reply.Pending.Signers)
+	}
+
+	showInstances(reply)
+}
+
+// showInstances prints for each instance what is in force and since when.
+func showInstances(reply control.StatusReply) {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nINCARNATION\tROLE\tSERVICE\tZONE\tADDRESS\tSTATE\tWEIGHT\tPOSITION\tIN FORCE FOR\tRENEWED")
+
+	for _, instance := range reply.Instances {
+		inForce, renewed := "not reported", "never"
+		if instance.Renewed >= 0 {
+			inForce = instance.InForce.Round(time.Second).String()
+			renewed = instance.Renewed.Round(100*time.Millisecond).String() + " ago"
+		}
 
-		return
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", instance.Incarnation, instance.Role,
+			instance.Service, instance.Zone, instance.Data, instance.State, instance.Weight, instance.Position,
+			inForce, renewed)
 	}
 
-	fmt.Printf("pending      version %d, digest %x, author %s, signed by %v\n",
-		reply.Pending.Version, reply.Pending.Digest, reply.Pending.Author, reply.Pending.Signers)
+	_ = table.Flush() // standard output: nothing is left to tell the operator with
 }
--- a/internal/coordination/raft/membership.go
+++ b/internal/coordination/raft/membership.go
@@ -209,7 +209,9 @@
 			return nil, newError(operation, KindInvalid, "replica %v is no learner", id)
 		}
 
-		if lag := n.log.last() - n.progress[id].match; lag > n.config.PromoteLag || !n.responsive(id) {
+		// In a short log the lag alone would admit a learner that stores nothing.
+		match := n.progress[id].match
+		if lag := n.log.last() - match; match == 0 || lag > n.config.PromoteLag || !n.responsive(id) {
 			return nil, newError(operation, KindNotCaughtUp, "learner %v lags by %d entries", id, lag)
 		}
 
--- a/internal/program/controller/client.go
+++ b/internal/program/controller/client.go
@@ -60,9 +60,20 @@
 	return call[control.ChangeReply](ctx, c, control.MethodReplaceOwner, request)
 }
 
-// Status describes an environment.
+// Status describes an environment and all of its instances.
 func (c *Client) Status(ctx context.Context, environment string) (control.StatusReply, error) {
-	return call[control.StatusReply](ctx, c, control.MethodStatus, control.Status{Environment: environment})
+	request := control.Status{Environment: environment}
+
+	whole, err := call[control.StatusReply](ctx, c, control.MethodStatus, request)
+
+	for page := whole; err == nil && len(page.Instances) == control.MaxInstances; {
+		request.After = page.Instances[len(page.Instances)-1].Incarnation
+
+		page, err = call[control.StatusReply](ctx, c, control.MethodStatus, request)
+		whole.Instances = append(whole.Instances, page.Instances...)
+	}
+
+	return whole, err
 }
 
 // History lists the newest changes of an environment.
--- a/internal/program/controller/operate.go
+++ b/internal/program/controller/operate.go
@@ -1,13 +1,16 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
 	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/state/catalog"
+	"jayspindle/internal/state/view"
 	"jayspindle/internal/transport/link"
 )
 
@@ -92,7 +95,7 @@
 }
 
 func (c *Controller) status(ctx context.Context, request control.Status) (any, error) {
-	reply, err := read(ctx, c, func(o *owner, _ uint64) *control.StatusReply { return o.status(request.Environment) })
+	reply, err := read(ctx, c, func(o *owner, _ uint64) *control.StatusReply { return o.status(request) })
 	if err == nil && reply == nil {
 		err = link.Errorf(link.KindNotFound, "environment %q does not exist", request.Environment)
 	}
@@ -100,7 +103,9 @@
 	return reply, err
 }
 
-func (o *owner) status(environment string) *control.StatusReply {
+func (o *owner) status(request control.Status) *control.StatusReply {
+	environment := request.Environment
+
 	current := o.state.View(environment)
 	if current == nil {
 		return nil
@@ -120,6 +125,7 @@
 		Balancers:   uint32(len(current.Balancers())),
 		InForce:     uint32(holding),
 		Rotation:    o.state.Rotations(environment),
+		Instances:   o.instances(time.Now(), current, request.After),
 	}
 
 	if pending, ok := o.state.Pending(environment); ok {
@@ -130,6 +136,55 @@
 	return reply
 }
 
+// instances describes up to control.MaxInstances members with an incarnation
+// above after.
+func (o *owner) instances(now time.Time, current *view.View, after view.Incarnation) []control.Instance {
+	var all []control.Instance
+
+	for _, agent := range current.Agents() {
+		if agent.Incarnation > after {
+			service, _ := current.Service(agent.Service)
+			all = append(all, control.Instance{
+				Incarnation: agent.Incarnation, Role: control.RoleAgent, Service: service.Name, Zone: agent.Zone,
+				Data: agent.Data, State: agent.State, Weight: agent.Weight,
+			})
+		}
+	}
+
+	for _, balancer := range current.Balancers() {
+		if balancer.Incarnation > after {
+			all = append(all, control.Instance{
+				Incarnation: balancer.Incarnation, Role: control.RoleBalancer, Zone: balancer.Zone,
+				Data: balancer.Data, State: balancer.State,
+			})
+		}
+	}
+
+	slices.SortFunc(all, func(a, b control.Instance) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	all = all[:min(len(all), control.MaxInstances)]
+
+	for i := range all {
+		o.report(now, current.Environment(), &all[i])
+	}
+
+	return all
+}
+
+// report adds what the instance said with its last renewal to this leader.
+func (o *owner) report(now time.Time, environment string, instance *control.Instance) {
+	instance.Renewed = -1
+
+	lease, ok := o.leases[environment].Status(instance.Incarnation)
+	if !ok || lease.Renewed.IsZero() {
+		return
+	}
+
+	instance.Load = lease.Load
+	instance.Position = lease.Position
+	instance.InForce = now.Sub(lease.Since)
+	instance.Renewed = now.Sub(lease.Renewed)
+}
+
 func (c *Controller) history(ctx context.Context, request control.History) (any, error) {
 	limit := int(request.Limit)
 	if limit == 0 {
@@ -186,7 +241,23 @@
 		lines = append(lines, fmt.Sprintf("%s at %s", record.Status, formatTime(record.Decided)))
 	}
 
-	return lines
+	return append(lines, o.arrival(record)...)
+}
+
+// arrival tells where an accepted change is in force.
+func (o *owner) arrival(record catalog.Record) []string {
+	current := o.state.View(record.Environment)
+
+	switch {
+	case current == nil || record.Status != catalog.Accepted:
+		return nil
+	case current.Version() > record.Version:
+		return []string{fmt.Sprintf("replaced by version %d", current.Version())}
+	}
+
+	holding, total := o.leases[record.Environment].InForce(current.Position())
+
+	return []string{fmt.Sprintf("in force at %d of %d instances, which hold position %s", holding, total, current.Position())}
 }
 
 func formatTime(nanoseconds int64) string {
--- a/internal/protocol/control/control.go
+++ b/internal/protocol/control/control.go
@@ -48,6 +48,7 @@
 	MaxHistory   = 256     // versions in one reply
 	MaxSigners   = 2       // signatures of one change: there are two owners
 	MaxMembers   = 20      // controllers in a group and their replacements
+	MaxInstances = 4096    // instances in one status reply, about 400 KB
 	MaxTopic     = 1024    // bytes of a question to Explain
 	MaxLines     = 1024    // lines of an explanation
 	MaxChunk     = 1 << 18 // bytes of a view in one Update
--- a/internal/protocol/control/operator.go
+++ b/internal/protocol/control/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"jayspindle/internal/state/view"
 )
@@ -9,11 +10,29 @@
 // Status asks for the state of an environment and of the controller group.
 type Status struct {
 	Environment string `cbor:"1,keyasint"`
+	// After asks for the instances with a higher incarnation, MaxInstances at a
+	// time.
+	After view.Incarnation `cbor:"2,keyasint,omitempty"`
 }
 
 // Check reports the first field out of bounds.
 func (s *Status) Check() error { return check("status").name("environment", s.Environment).err }
 
+// Instance is what the leader knows about one agent or balancer.
+type Instance struct {
+	Incarnation view.Incarnation `cbor:"1,keyasint" json:"incarnation"`
+	Role        string           `cbor:"2,keyasint" json:"role"`
+	Service     string           `cbor:"3,keyasint,omitempty" json:"service,omitempty"`
+	Zone        string           `cbor:"4,keyasint" json:"zone"`
+	Data        netip.AddrPort   `cbor:"5,keyasint" json:"data"`
+	State       view.State       `cbor:"6,keyasint" json:"state"`
+	Weight      uint8            `cbor:"7,keyasint" json:"weight"`
+	Load        uint8            `cbor:"8,keyasint" json:"load"`         // percent, a hint
+	Position    view.Position    `cbor:"9,keyasint" json:"position"`     // in force, zero if not reported yet
+	InForce     time.Duration    `cbor:"10,keyasint" json:"in_force"`    // for how long the position is in force
+	Renewed     time.Duration    `cbor:"11,keyasint" json:"renewed_ago"` // since the last renewal, negative if none
+}
+
 // StatusReply is read from the leader.
 type StatusReply struct {
 	Environment string        `cbor:"1,keyasint"`
@@ -30,6 +49,8 @@
 	// with their last renewal.
 	InForce  uint32 `cbor:"11,keyasint"`
 	Rotation uint64 `cbor:"12,keyasint"` // fabric keys rotated so far
+	// Instances lists at most MaxInstances by rising incarnation.
+	Instances []Instance `cbor:"13,keyasint,omitempty"`
 }
 
 // Check reports the first field out of bounds.
@@ -37,7 +58,8 @@
 	limits := check("status reply").
 		optional("environment", s.Environment, MaxName).
 		optional("leader", s.Leader, MaxName).
-		that(len(s.Digest) == 0 || len(s.Digest) == digestBytes, "digest has %d bytes", len(s.Digest))
+		that(len(s.Digest) == 0 || len(s.Digest) == digestBytes, "digest has %d bytes", len(s.Digest)).
+		atMost("instances", len(s.Instances), MaxInstances)
 	if s.Pending != nil {
 		limits = s.Pending.limits(limits)
 	}
