--- a/internal/program/controller/operate.go
+++ b/internal/program/controller/operate.go
@@ -257,7 +257,7 @@
 
 	holding, total := o.leases[record.Environment].InForce(current.Position())
 
-	return []string{fmt.Sprintf("in force at %d of %d instances, which hold position %s", holding, total, current.Position())}
+	return []string{fmt.Sprintf("in force at %d of %d instances, position %s", holding, total, current.Position())}
 }
 
 func formatTime(nanoseconds int64) string {
