Let the agent stop while answers and views still arrive

After the goroutine of the gate or of the claims had ended, every event waited for it for ever: an answer of a sibling that was closed late, or a view that arrived during the stop, kept the process from ending. Events now also end with that goroutine. An event of the claims that is in the queue is waited for: a caller that gave up in that moment left a claim behind that nobody ended, and its resend got 409 for the whole retention.

TestGate fails without the mechanism: synctest reports a deadlock.

--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -48,6 +48,7 @@
 type claims struct {
 	claimOptions
 	events     chan func(now time.Time)
+	stopped    chan struct{}  // closed when run has ended
 	background conc.WaitGroup // calls to siblings in progress
 
 	// Owned by the goroutine of run.
@@ -74,6 +75,7 @@
 	return &claims{
 		claimOptions: options,
 		events:       make(chan func(now time.Time), 64),
+		stopped:      make(chan struct{}),
 		history:      claim.NewHistory(time.Now(), retention, maxUnconfirmed),
 		agents:       make(map[view.Incarnation]view.Agent),
 		active:       make(map[uint64]*activeClaim),
@@ -83,6 +85,8 @@
 
 // run owns the state until the context ends.
 func (c *claims) run(ctx context.Context) {
+	defer close(c.stopped)
+
 	timer := time.NewTimer(expireInterval)
 	defer timer.Stop()
 
@@ -105,12 +109,18 @@
 	}
 }
 
-// do runs an event on the goroutine that owns the state and waits for it.
+// do runs an event on the goroutine that owns the state and waits for it. It
+// reports false if the event has not run and will not. Once the event is in
+// the queue, the end of the context does not matter any more: an event that runs
+// after do has returned would change variables that its caller reads, and would
+// begin claims that nobody ends.
 func (c *claims) do(ctx context.Context, event func(now time.Time)) bool {
 	done := make(chan struct{})
 
 	select {
 	case c.events <- func(now time.Time) { event(now); close(done) }:
+	case <-c.stopped:
+		return false
 	case <-ctx.Done():
 		return false
 	}
@@ -118,7 +128,7 @@
 	select {
 	case <-done:
 		return true
-	case <-ctx.Done():
+	case <-c.stopped:
 		return false
 	}
 }
@@ -127,6 +137,7 @@
 func (c *claims) post(ctx context.Context, event func(now time.Time)) {
 	select {
 	case c.events <- event:
+	case <-c.stopped:
 	case <-ctx.Done():
 	}
 }
@@ -268,7 +279,12 @@
 	}
 
 	// The claim decides within claim.ClaimTimeout, so this wait is bounded.
-	return active, <-decided
+	select {
+	case decision := <-decided:
+		return active, decision
+	case <-c.stopped:
+		return nil, claim.Decision{Verdict: claim.Unknown, Reason: "the agent is stopping"}
+	}
 }
 
 // register adds the methods that siblings call.
--- a/internal/program/agent/gate.go
+++ b/internal/program/agent/gate.go
@@ -11,6 +11,7 @@
 // scheduler; requests reach it through a channel of events.
 type gate struct {
 	events  chan func(now time.Time)
+	stopped chan struct{} // closed when run has ended
 	sched   *admission.Scheduler
 	waiting map[uint64]chan admission.Decision // by request ID
 	nextID  uint64
@@ -25,6 +26,7 @@
 func newGate(policy admission.Policy) *gate {
 	return &gate{
 		events:  make(chan func(now time.Time)),
+		stopped: make(chan struct{}),
 		sched:   admission.New(policy),
 		waiting: make(map[uint64]chan admission.Decision),
 	}
@@ -32,6 +34,8 @@
 
 // run owns the scheduler until the context ends.
 func (g *gate) run(ctx context.Context) {
+	defer close(g.stopped)
+
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 
@@ -54,7 +58,8 @@
 }
 
 // do runs an event on the goroutine that owns the scheduler and waits for it.
-// It reports false if that goroutine has ended.
+// It reports false if the event did not run: the context ended first, or the
+// goroutine has ended.
 func (g *gate) do(ctx context.Context, event func(now time.Time)) bool {
 	done := make(chan struct{})
 
@@ -63,6 +68,8 @@
 		<-done
 
 		return true
+	case <-g.stopped:
+		return false
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/program/agent/runonce.go
+++ b/internal/program/agent/runonce.go
@@ -117,6 +117,7 @@
 
 	select {
 	case <-active.settled:
+	case <-c.stopped:
 	case <-timer.C:
 	}
 }
