Classify failed hand-overs by connection and notice silent ones in 3 s

Three faults at the hand-over to the backend server: - A request on a kept connection that broke was repeated by the HTTP transport; when the second connection was refused, it counted as not run although the first may have run it. Now a request may have run once it got a connection. - A backend server that never answered a feed held the feed's connection for ever. The deadline of a feed now counts until its response starts. - Data on the way to a silent path was repeated for a quarter of an hour, since keep-alives pause meanwhile. TCP_USER_TIMEOUT bounds both cases at 3 s. Health checks use new connections, so kept ones that are silent do not eject the backend server. Compression is passed through and a panic frees the slot.

--- a/internal/program/agent/backendserver.go
+++ b/internal/program/agent/backendserver.go
@@ -6,11 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,6 +24,14 @@
 	maxHealthSize  = 4 << 10
 	// unhealthyAfter tolerates a lost health check: reports lag and mislead.
 	unhealthyAfter = 3
+
+	// silenceLimit is the time within which a connection to the backend server
+	// counts as silent, with or without data on the way. The system checks it
+	// with keep-alives, so a feed without events is not mistaken for a silent one.
+	silenceLimit      = 3 * time.Second
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = int(silenceLimit/keepAliveInterval) - 1
 )
 
 // backendServer is the HTTP side of the agent.
@@ -30,7 +42,8 @@
 	// a new connection if a kept one turns out to be closed.
 	shared http.RoundTripper
 	// single opens a connection for each request, because a request on a kept
-	// connection that breaks may or may not have run.
+	// connection that breaks may or may not have run. Health checks use it too:
+	// kept connections that are silent say nothing about the backend server.
 	single  http.RoundTripper
 	failed  atomic.Int32
 	load    atomic.Uint32 // percent, as reported
@@ -38,12 +51,14 @@
 }
 
 func newBackendServer(address netip.AddrPort, health string, silence time.Duration) *backendServer {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitSilence, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
 
 	shared := &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext: dialer.DialContext,
+		// The caller gets the bytes that the backend server has sent.
+		DisableCompression:    true,
 		MaxIdleConnsPerHost:   16,
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: silence,
@@ -58,6 +73,22 @@
 	return server
 }
 
+// limitSilence bounds the wait for the acknowledgement of sent data. Without
+// it, keep-alives pause while data is on the way, and the system repeats the
+// data for a quarter of an hour.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var cause error
+
+	err := raw.Control(func(fd uintptr) {
+		cause = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+
+	return os.NewSyscallError("setsockopt", cause)
+}
+
 // send hands a call over. ran is false only if it is certain that the backend
 // server has not run it.
 func (b *backendServer) send(ctx context.Context, c *call) (response *http.Response, ran bool, err error) {
@@ -71,27 +102,29 @@
 		transport = b.single
 	}
 
+	// The request can only have run if it got a connection. The last error does
+	// not tell: the transport repeats an idempotent request whose kept
+	// connection broke, and the second connection may be refused.
+	var connections atomic.Int32
+
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connections.Add(1) },
+	})
+
 	response, err = transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return nil, !isDialError(err), newError("hand over", KindBackend, err)
+		return nil, connections.Load() > 0, newError("hand over", KindBackend, err)
 	}
 
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
 		_ = response.Body.Close()
 
-		return nil, false, newError("hand over", KindBackend, errors.New("the backend server sheds load"))
+		return nil, connections.Load() > 1, newError("hand over", KindBackend, errors.New("the backend server sheds load"))
 	}
 
 	return response, true, nil
 }
 
-// isDialError reports whether no byte of the request was sent.
-func isDialError(err error) bool {
-	var operation *net.OpError
-
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
 // watchHealth polls the backend server until the context ends.
 func (b *backendServer) watchHealth(ctx context.Context, changed func(healthy bool)) {
 	if b.health == "" {
@@ -141,7 +174,7 @@
 		return errors.Trace(err)
 	}
 
-	response, err := b.shared.RoundTrip(request)
+	response, err := b.single.RoundTrip(request)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/program/agent/local.go
+++ b/internal/program/agent/local.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"jayspindle/internal/coordination/admission"
 	"jayspindle/internal/protocol/peer"
@@ -50,20 +51,36 @@
 		return notRun(string(reason))
 	}
 
-	handing, stop := l.handOverContext(ctx, c)
+	return l.handOver(ctx, c, granted)
+}
 
-	response, ran, err := l.backend.send(handing, c) //nolint:bodyclose // closed with the body of the result
-	if err != nil {
-		stop()
-		granted.close(admission.Abandoned)
+// handOver sends the call to the backend server. The slot is freed even if a
+// panic passes through, which the HTTP server turns into a reset stream.
+func (l *local) handOver(ctx context.Context, c *call, granted *pass) *result {
+	handing, started, stop := handOverContext(ctx, c)
+
+	held := false
 
-		if !ran {
-			return notRun(err.Error())
+	defer func() {
+		if !held {
+			stop()
+			granted.close(admission.Abandoned)
 		}
+	}()
+
+	response, ran, err := l.backend.send(handing, c) //nolint:bodyclose // closed with the body of the result
 
+	switch {
+	case err != nil && ran:
 		return unknown(err.Error())
+	case err != nil:
+		return notRun(err.Error())
 	}
 
+	started()
+
+	held = true
+
 	return &result{
 		state:  peer.Answered,
 		status: response.StatusCode,
@@ -73,13 +90,21 @@
 }
 
 // handOverContext carries the deadline and the caller's cancellation to the
-// backend server. A feed has no deadline once it has started.
-func (*local) handOverContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	if c.class.Feed {
-		return context.WithCancel(ctx)
+// backend server. The deadline of a feed ends when the feed has started.
+func handOverContext(ctx context.Context, c *call) (_ context.Context, started, stop func()) {
+	if !c.class.Feed {
+		ctx, cancel := context.WithDeadline(ctx, c.deadline)
+
+		return ctx, func() {}, cancel
 	}
 
-	return context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
+
+	return ctx, func() { limit.Stop() }, func() {
+		limit.Stop()
+		cancel(nil)
+	}
 }
 
 // slotBody frees the slot when the body is closed.
