Report "not run" only if no attempt may have run, and count causes

An idempotent request whose first attempt may have run and whose retries were refused was reported as not run; a feed likewise after its own backend server broke. The placer now keeps the first attempt that may have run. A link dials until its context ends, so a claimed request to a lost sibling waited for ever: a link gets 500 ms to start, the deadline bounds the rest, and a sibling that is not reached counts as failed, so that it is ejected. Messages that a sibling cannot decode are answered as not run. Feeds of siblings end at a drain instead of holding it up. Reading a request body has the deadline of its class. Refusals, unknown outcomes, retries, redirections and claims have counters with bounded keys; attempts pass their span on.

--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -110,7 +110,8 @@
 		Random:      rand.New(rand.NewPCG(random.Uint64(), 1)),
 	})
 
-	a.placer = newPlacer(a.member.Incarnation, a.local, a.siblings, random, observed.Tracer())
+	sibling := func(agent view.Agent) runner { return &remote{client: a.siblings.client(agent)} }
+	a.placer = newPlacer(a.member.Incarnation, a.local, sibling, random, observed.Tracer())
 	a.feeds = newFeeds(a.placer, a.logger)
 	a.claims = newClaims(claimOptions{
 		service:   config.Service,
@@ -143,7 +144,9 @@
 		return errors.Trace(err)
 	}
 
-	requests := &peerServer{service: a.config.Service, local: a.local, classes: a.class, logger: a.logger}
+	requests := &peerServer{
+		service: a.config.Service, local: a.local, classes: a.class, drained: a.feeds.drained,
+	}
 	server.HandleStream(peer.MethodRun, requests.run)
 	a.claims.register(server)
 	a.peers = server
--- a/internal/program/agent/backendserver.go
+++ b/internal/program/agent/backendserver.go
@@ -34,6 +34,9 @@
 	keepAliveProbes   = int(silenceLimit/keepAliveInterval) - 1
 )
 
+// errShed means that the backend server refused the request before the start.
+var errShed = errors.New("the backend server sheds load")
+
 // backendServer is the HTTP side of the agent.
 type backendServer struct {
 	address string
@@ -119,7 +122,7 @@
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
 		_ = response.Body.Close()
 
-		return nil, connections.Load() > 1, newError("hand over", KindBackend, errors.New("the backend server sheds load"))
+		return nil, connections.Load() > 1, newError("hand over", KindBackend, errShed)
 	}
 
 	return response, true, nil
--- a/internal/program/agent/handler.go
+++ b/internal/program/agent/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"io"
 	"log/slog"
 	"net/http"
@@ -17,9 +16,6 @@
 	"jayspindle/internal/state/document"
 )
 
-// outcomes counts requests by class and outcome.
-var outcomes = expvar.NewMap("agent_requests")
-
 // handler answers the requests of callers.
 type handler struct {
 	matcher func() *document.Matcher
@@ -44,9 +40,16 @@
 	ctx, span := h.tracer.Start(ctx, "agent.request", trace.WithAttributes(attribute.String("class", class.Name)))
 	defer span.End()
 
+	// A caller that sends its body slowly holds memory, so it gets the deadline
+	// of the class to send it.
+	if err := http.NewResponseController(response).SetReadDeadline(time.Now().Add(class.Deadline)); err != nil {
+		h.logger.Debug("no limit on the time of a body", "error", err)
+	}
+
 	c, err := newCall(request, *class, time.Now())
 	if err != nil {
 		span.SetAttributes(attribute.String("reason", err.Error()))
+		refusals.Add(string(causeCaller), 1)
 		refuse(response, http.StatusBadRequest, err.Error())
 
 		return
@@ -74,6 +77,11 @@
 	}
 
 	outcomes.Add(c.class.Name+" "+outcome.state.String(), 1)
+
+	if outcome.state != peer.Answered {
+		countFailure(outcome)
+	}
+
 	trace.SpanFromContext(ctx).SetAttributes(
 		attribute.String("outcome", outcome.state.String()), attribute.String("reason", outcome.reason))
 
--- a/internal/program/agent/local.go
+++ b/internal/program/agent/local.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"jayspindle/internal/coordination/admission"
 	"jayspindle/internal/protocol/peer"
 )
@@ -14,15 +16,22 @@
 // result is what became of a call. The body of an answer must be closed.
 type result struct {
 	state  peer.State
+	cause  cause
 	reason string
 	status int
 	header http.Header
 	body   io.ReadCloser
 }
 
-func notRun(reason string) *result { return &result{state: peer.NotRun, reason: reason} }
+func notRun(why cause, reason string) *result {
+	return &result{state: peer.NotRun, cause: why, reason: reason}
+}
+
+func unknown(why cause, reason string) *result {
+	return &result{state: peer.Unknown, cause: why, reason: reason}
+}
 
-func unknown(reason string) *result { return &result{state: peer.Unknown, reason: reason} }
+func (r *result) mayHaveRun() bool { return r.state != peer.NotRun }
 
 // runner runs a call somewhere.
 type runner interface {
@@ -39,7 +48,7 @@
 // body of the answer is closed.
 func (l *local) run(ctx context.Context, c *call) *result {
 	if !l.backend.healthy.Load() {
-		return notRun("backend server unhealthy")
+		return notRun(causeUnhealthy, string(causeUnhealthy))
 	}
 
 	// A feed has a deadline for its first byte only.
@@ -48,7 +57,7 @@
 
 	granted, reason := l.gate.enter(waiting, c.class.Name, c.deadline)
 	if granted == nil {
-		return notRun(string(reason))
+		return notRun(cause(reason), string(reason))
 	}
 
 	return l.handOver(ctx, c, granted)
@@ -72,9 +81,11 @@
 
 	switch {
 	case err != nil && ran:
-		return unknown(err.Error())
+		return unknown(causeBroken, err.Error())
+	case errors.Is(err, errShed):
+		return notRun(causeShed, err.Error())
 	case err != nil:
-		return notRun(err.Error())
+		return notRun(causeConnect, err.Error())
 	}
 
 	started()
--- a/internal/program/agent/placer.go
+++ b/internal/program/agent/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/coordination/placement"
@@ -31,24 +32,25 @@
 	random *rand.Rand
 	agents map[view.Incarnation]view.Agent
 
-	self     func() view.Incarnation
-	local    *local
-	siblings *siblings
-	tracer   trace.Tracer
+	self    func() view.Incarnation
+	local   runner
+	sibling func(agent view.Agent) runner
+	tracer  trace.Tracer
 }
 
 func newPlacer(
-	self func() view.Incarnation, own *local, others *siblings, random *rand.Rand, tracer trace.Tracer,
+	self func() view.Incarnation, own runner, sibling func(agent view.Agent) runner, random *rand.Rand,
+	tracer trace.Tracer,
 ) *placer {
 	return &placer{
-		picker:   placement.New(placement.DefaultPolicy(), random.Uint64()),
-		budget:   retry.New(retryRatio, retryBurst),
-		random:   random,
-		agents:   make(map[view.Incarnation]view.Agent),
-		self:     self,
-		local:    own,
-		siblings: others,
-		tracer:   tracer,
+		picker:  placement.New(placement.DefaultPolicy(), random.Uint64()),
+		budget:  retry.New(retryRatio, retryBurst),
+		random:  random,
+		agents:  make(map[view.Incarnation]view.Agent),
+		self:    self,
+		local:   own,
+		sibling: sibling,
+		tracer:  tracer,
 	}
 }
 
@@ -65,43 +67,61 @@
 	}
 }
 
-// place runs a call on a backend server of the service.
+// place runs a call on a backend server of the service. The result is "not run"
+// only if no attempt may have run.
 func (p *placer) place(ctx context.Context, c *call) *result {
 	p.mutex.Lock()
 	p.budget.Deposit()
 	p.mutex.Unlock()
 
-	var tried []view.Incarnation
+	var (
+		tried    []view.Incarnation
+		possible *result // of the first attempt that may have run
+	)
 
 	for number := 1; ; number++ {
 		target, place, ok := p.pick(tried)
 		if !ok {
-			return notRun("no backend server takes new work")
+			return strongest(possible, notRun(causeNoBackend, "no backend server takes new work"))
 		}
 
 		tried = append(tried, target)
-		outcome := p.attempt(ctx, c, target, place)
+		outcome := strongest(possible, p.attempt(ctx, c, target, place))
 
-		decision := p.decide(c, number, outcome)
-		if !decision.Retry {
-			return outcome
+		if outcome.state == peer.Unknown {
+			possible = outcome
 		}
 
-		if !pause(ctx, decision.After) {
+		if decision := p.decide(c, number, outcome); !decision.Retry || !pause(ctx, decision.After) {
 			return outcome
 		}
 	}
 }
 
+// strongest returns the outcome of a call from an earlier attempt that may have
+// run, or nil, and the last one.
+func strongest(possible, last *result) *result {
+	if possible != nil && last.state == peer.NotRun {
+		return possible
+	}
+
+	return last
+}
+
 // placeNear runs a feed on the agent's own backend server if that takes it, and
 // elsewhere otherwise: a feed lasts so long that an extra hop costs more than
 // an even spread gains, and the spread of flows already evens out feeds.
 func (p *placer) placeNear(ctx context.Context, c *call) *result {
-	if outcome := p.local.run(ctx, c); outcome.state == peer.Answered {
-		return outcome
-	}
+	near := p.local.run(ctx, c)
 
-	return p.place(ctx, c)
+	switch near.state {
+	case peer.Answered:
+		return near
+	case peer.Unknown:
+		return strongest(near, p.place(ctx, c))
+	default:
+		return p.place(ctx, c)
+	}
 }
 
 // pick returns the agent for the next attempt. Once all were tried, an agent
@@ -125,7 +145,7 @@
 		return target, p.local, true
 	}
 
-	return target, &remote{client: p.siblings.client(p.agents[target])}, true
+	return target, p.sibling(p.agents[target]), true
 }
 
 func (p *placer) attempt(ctx context.Context, c *call, target view.Incarnation, place runner) *result {
@@ -133,7 +153,13 @@
 		attribute.Int64("agent", int64(target)), attribute.Bool("sibling", target != p.self())))
 	defer span.End()
 
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(c.header))
+
 	outcome := place.run(ctx, c)
+	if target != p.self() {
+		redirections.Add(outcome.state.String(), 1)
+	}
+
 	span.SetAttributes(attribute.String("outcome", outcome.state.String()), attribute.String("reason", outcome.reason))
 
 	if outcome.state != peer.Answered {
@@ -158,7 +184,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return placement.Cancelled
-	case outcome.state == peer.NotRun:
+	case outcome.state == peer.NotRun && outcome.cause != causeSiblingGet:
 		return placement.Refused
 	default:
 		return placement.Failed
@@ -187,7 +213,17 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	return p.budget.Decide(time.Now(), attempt, p.random)
+	decision := p.budget.Decide(time.Now(), attempt, p.random)
+
+	switch {
+	case outcome.state == peer.Answered:
+	case decision.Retry:
+		retries.Add("allowed: "+string(decision.Reason), 1)
+	default:
+		retries.Add("denied: "+string(decision.Reason), 1)
+	}
+
+	return decision
 }
 
 // pause waits before a retry and reports whether the caller still waits.
--- a/internal/program/agent/runonce.go
+++ b/internal/program/agent/runonce.go
@@ -33,6 +33,7 @@
 func (c *claims) runOnce(ctx context.Context, request *call, placer *placer) *result {
 	for {
 		active, decision := c.begin(ctx, request.key)
+		claimResults.Add(verdictNames[decision.Verdict], 1)
 
 		switch decision.Verdict {
 		case claim.Run:
@@ -40,13 +41,13 @@
 		case claim.Replay:
 			return replay(decision)
 		case claim.NotRun:
-			return notRun(string(decision.Reason))
+			return notRun(causeClaim, string(decision.Reason))
 		case claim.InProgress:
 			if time.Until(request.deadline) < claimPoll || !pause(ctx, claimPoll) {
 				return inProgress()
 			}
 		default:
-			return unknown(string(decision.Reason))
+			return unknown(causeClaim, string(decision.Reason))
 		}
 	}
 }
@@ -61,7 +62,7 @@
 	c.do(ctx, func(now time.Time) { handed = active.claimant.HandOver(now) })
 
 	if !handed {
-		return notRun("claimed too long ago")
+		return notRun(causeClaim, "claimed too long ago")
 	}
 
 	request.startBy = time.Now().Add(claim.HandOverLimit)
@@ -89,7 +90,7 @@
 
 		c.complete(ctx, active, claim.Answer{Unknown: true})
 
-		return unknown("the answer broke off: " + err.Error())
+		return unknown(causeBroken, "the answer broke off: "+err.Error())
 	}
 
 	answer := claim.Answer{TooLarge: true}
@@ -138,7 +139,7 @@
 
 	var stored storedAnswer
 	if err := cbor.Unmarshal(decision.Answer.Body, &stored); err != nil {
-		return unknown("the stored answer cannot be decoded: " + err.Error())
+		return unknown(causeClaim, "the stored answer cannot be decoded: "+err.Error())
 	}
 
 	stored.Header.Set(headerOutcome, outcomeReplayed)
--- a/internal/program/agent/sibling.go
+++ b/internal/program/agent/sibling.go
@@ -3,18 +3,24 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"jayspindle/internal/protocol/peer"
 	"jayspindle/internal/state/view"
 	"jayspindle/internal/transport/identity"
 	"jayspindle/internal/transport/link"
 )
 
+// siblingStart bounds the wait for a link to a sibling. A handshake takes a few
+// milliseconds; a sibling that was lost costs each request this much until it
+// is ejected or its lease ends.
+const siblingStart = 500 * time.Millisecond
+
 // siblings holds the links to the other agents of the service, one for each
 // incarnation that was needed so far.
 type siblings struct {
@@ -77,67 +83,96 @@
 // remote runs calls on the backend server of a sibling.
 type remote struct{ client *link.Client }
 
+// run sends the call and waits for the first frame. The deadline bounds it
+// here too, since a claimed call goes on when its caller has left.
 func (r *remote) run(ctx context.Context, c *call) *result {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, started, stop := handOverContext(ctx, c)
 
-	stream, err := r.client.Stream(ctx, peer.MethodRun, &peer.Run{
-		Class:   c.class.Name,
-		Method:  c.method,
-		Target:  c.target,
-		Header:  c.header,
-		Body:    c.body,
-		Timeout: time.Until(c.deadline),
-		Start:   time.Until(c.startLimit()),
-		Key:     c.key,
-	})
-	if err != nil {
-		cancel()
+	stream, failed := r.send(ctx, stop, c)
+	if failed != nil {
+		stop()
 
-		return linkFailure(err)
+		return failed
 	}
 
 	var first peer.Frame
 	if more, err := stream.Next(&first); err != nil || !more {
 		stream.Close()
-		cancel()
+		stop()
 
 		return linkFailure(err)
 	}
 
 	if first.State != peer.Answered {
 		stream.Close()
-		cancel()
+		stop()
 
-		return &result{state: first.State, reason: first.Reason}
+		return &result{state: first.State, cause: causeSibling, reason: first.Reason}
 	}
 
+	started()
+
 	return &result{
 		state:  peer.Answered,
 		status: first.Status,
 		header: first.Header,
-		body:   &streamBody{stream: stream, cancel: cancel},
+		body:   &streamBody{stream: stream, cancel: stop},
 	}
 }
 
+// send opens the stream. A sibling that cannot be reached soon is given up, so
+// that there is time for another one: a link dials until its context ends.
+func (r *remote) send(ctx context.Context, stop func(), c *call) (*link.Stream, *result) {
+	message := &peer.Run{
+		Class:   c.class.Name,
+		Method:  c.method,
+		Target:  c.target,
+		Header:  c.header,
+		Body:    c.body,
+		Timeout: time.Until(c.deadline),
+		Start:   time.Until(c.startLimit()),
+		Key:     c.key,
+	}
+	if err := message.Check(); err != nil {
+		return nil, notRun(causeSibling, err.Error())
+	}
+
+	limit := time.AfterFunc(min(siblingStart, message.Start), stop)
+	defer limit.Stop()
+
+	stream, err := r.client.Stream(ctx, peer.MethodRun, message)
+	if link.KindOf(err) == link.KindTooLarge {
+		return nil, notRun(causeSibling, err.Error())
+	}
+
+	if err != nil {
+		return nil, linkFailure(err)
+	}
+
+	return stream, nil
+}
+
 // linkFailure tells failures that prove that the sibling did not get the
 // request from those that leave it open.
 func linkFailure(err error) *result {
 	if err == nil {
-		return unknown("the sibling ended the response early")
+		return unknown(causeSibling, "the sibling ended the response early")
 	}
 
 	switch link.KindOf(err) {
-	case link.KindUnreachable, link.KindClosing, link.KindMethod, link.KindBusy, link.KindRedirect, link.KindDenied:
-		return notRun(err.Error())
+	case link.KindUnreachable:
+		return notRun(causeSiblingGet, err.Error())
+	case link.KindClosing, link.KindMethod, link.KindBusy, link.KindRedirect, link.KindDenied:
+		return notRun(causeSibling, err.Error())
 	default:
-		return unknown(err.Error())
+		return unknown(causeSibling, err.Error())
 	}
 }
 
 // streamBody reads a body from the frames of a link.
 type streamBody struct {
 	stream *link.Stream
-	cancel context.CancelFunc
+	cancel func()
 	rest   []byte
 }
 
@@ -177,7 +212,8 @@
 	service string
 	local   *local
 	classes func(name string) (view.Class, bool)
-	logger  *slog.Logger
+	// drained is closed when feeds must move to other agents.
+	drained <-chan struct{}
 }
 
 // run serves peer.MethodRun.
@@ -188,7 +224,7 @@
 
 	var message peer.Run
 	if err := request.Decode(&message); err != nil {
-		return err
+		return send(&peer.Frame{State: peer.NotRun, Reason: err.Error()})
 	}
 
 	class, ok := p.classes(message.Class)
@@ -196,6 +232,26 @@
 		return send(&peer.Frame{State: peer.NotRun, Reason: "unknown class " + message.Class})
 	}
 
+	if class.Feed {
+		// The sibling resumes the feed elsewhere after the last whole event.
+		limited, cancel := context.WithCancel(ctx)
+		defer cancel()
+
+		group := conc.NewWaitGroup()
+		defer group.Wait()
+		defer cancel()
+
+		group.Go(func() {
+			select {
+			case <-p.drained:
+				cancel()
+			case <-limited.Done():
+			}
+		})
+
+		ctx = limited
+	}
+
 	outcome := p.local.run(ctx, &call{
 		class:    class,
 		method:   message.Method,
