Pause before feeds are resumed and end those that cannot be

A backend server that ended every feed at once was asked again without a pause, and a feed that no backend server would resume was tried for ever while its caller waited. Pauses now double up to 1 s while no event arrives, and an answer below 500 ends a feed that has started. Events may end with CRLF: such feeds passed no event and were resumed after each MiB. An answer to a refused feed that breaks off resets the stream. Openings, resumptions, moves and failures are counted.

TestFeeds failed on copies without the CRLF rule, with a fixed pause of 1 ms, and with resumption after 410.

--- a/internal/program/agent/feeds.go
+++ b/internal/program/agent/feeds.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 
 	"jayspindle/internal/protocol/peer"
@@ -21,7 +22,10 @@
 	// maxEvent bounds one server-sent event in bytes.
 	maxEvent = 1 << 20
 	// resumePause is the pause before a feed is resumed at another backend server.
-	resumePause = 50 * time.Millisecond
+	// It doubles up to maxResumePause while no event arrives: a backend server
+	// that ends every feed at once would otherwise get as many as it can refuse.
+	resumePause    = 50 * time.Millisecond
+	maxResumePause = time.Second
 	// resumeTimeout bounds the wait for the first byte of a resumed feed.
 	resumeTimeout = 2 * time.Second
 )
@@ -52,16 +56,25 @@
 
 	stream := &eventWriter{response: response, last: c.header.Get(headerLastEvent)}
 
-	for ctx.Err() == nil && !closed(f.ended) {
+	for wait := resumePause; ; wait = min(2*wait, maxResumePause) {
+		before := stream.written
 		outcome := f.placer.placeNear(ctx, c)
 
-		if outcome.state != peer.Answered || outcome.status != http.StatusOK {
-			if !f.failed(response, stream, outcome) || !pause(ctx, resumePause) {
-				return
-			}
-		} else {
+		switch {
+		case outcome.state == peer.Answered && outcome.status == http.StatusOK:
+			f.count(stream)
 			stream.start(outcome)
 			f.copy(ctx, stream, outcome.body)
+		case !f.failed(response, stream, outcome):
+			return
+		}
+
+		if stream.written > before {
+			wait = resumePause
+		}
+
+		if ctx.Err() != nil || closed(f.ended) || !pause(ctx, wait) {
+			return
 		}
 
 		c.deadline = time.Now().Add(resumeTimeout)
@@ -72,20 +85,43 @@
 	}
 }
 
+// count counts a feed that a backend server has started.
+func (*feeds) count(stream *eventWriter) {
+	switch {
+	case stream.started:
+		feedEvents.Add("moved to another backend server", 1)
+	case stream.last != "":
+		feedEvents.Add("resumed by a caller", 1)
+	default:
+		feedEvents.Add("opened", 1)
+	}
+}
+
 // failed handles a feed that did not start. It reports whether to try again,
-// which is the case once the caller has received the start of the feed.
+// which is the case once the caller has received the start of the feed, unless
+// a backend server answers that it cannot be resumed: the caller then learns
+// why when it asks itself.
 func (f *feeds) failed(response http.ResponseWriter, stream *eventWriter, outcome *result) bool {
 	if outcome.state == peer.Answered {
 		defer outcome.body.Close()
 	}
 
+	feedEvents.Add("not started: "+outcome.state.String(), 1)
+
 	if stream.started {
+		if outcome.state == peer.Answered && outcome.status < http.StatusInternalServerError {
+			f.logger.Warn("feed ended, it cannot be resumed", "status", outcome.status)
+
+			return false
+		}
+
 		f.logger.Warn("feed not resumed yet", "outcome", outcome.state.String(), "reason", outcome.reason)
 
 		return true
 	}
 
 	if outcome.state != peer.Answered {
+		countFailure(outcome)
 		refuse(response, http.StatusServiceUnavailable, outcome.reason)
 
 		return false
@@ -96,7 +132,10 @@
 	}
 
 	response.WriteHeader(outcome.status)
-	_, _ = io.Copy(response, outcome.body)
+
+	if _, err := io.Copy(response, outcome.body); err != nil {
+		panic(http.ErrAbortHandler) // a part must not pass for the whole
+	}
 
 	return false
 }
@@ -109,7 +148,11 @@
 
 	var group conc.WaitGroup
 
-	group.Go(func() { readEvents(ctx, body, reader) })
+	group.Go(func() {
+		if err := readEvents(ctx, body, reader); err != nil {
+			f.logger.Info("feed of a backend server broke off", "cause", err)
+		}
+	})
 
 	defer func() {
 		cancel()
@@ -143,7 +186,7 @@
 
 // readEvents sends the whole events of a body and closes the channel at its
 // end. A part of an event at the end is dropped: the resumed feed repeats it.
-func readEvents(ctx context.Context, body io.Reader, events chan<- []byte) {
+func readEvents(ctx context.Context, body io.Reader, events chan<- []byte) error {
 	defer close(events)
 
 	var pending []byte
@@ -155,31 +198,52 @@
 		pending = append(pending, buffer[:n]...)
 
 		for {
-			end := bytes.Index(pending, []byte("\n\n"))
+			end := eventEnd(pending)
 			if end < 0 {
 				break
 			}
 
-			event := bytes.Clone(pending[:end+2])
-			pending = pending[end+2:]
+			event := bytes.Clone(pending[:end])
+			pending = pending[end:]
 
 			select {
 			case events <- event:
 			case <-ctx.Done():
-				return
+				return nil
 			}
 		}
 
+		if errors.Is(err, io.EOF) || ctx.Err() != nil {
+			return nil
+		}
+
 		if err != nil {
-			return
+			return err
 		}
 	}
+
+	return newError("read feed", KindBackend, errors.Errorf("an event exceeds %d bytes", maxEvent))
+}
+
+// eventEnd returns the length of the first event in text, or -1 if it is not
+// whole. An empty line ends an event; lines end with LF or CRLF.
+func eventEnd(text []byte) int {
+	end := -1
+
+	for _, blank := range []string{"\n\n", "\n\r\n"} {
+		if at := bytes.Index(text, []byte(blank)); at >= 0 && (end < 0 || at+len(blank) < end) {
+			end = at + len(blank)
+		}
+	}
+
+	return end
 }
 
 // eventWriter writes events to the caller and remembers the last event ID.
 type eventWriter struct {
 	response http.ResponseWriter
 	started  bool
+	written  int // events
 	last     string
 }
 
@@ -209,6 +273,8 @@
 		w.last = id
 	}
 
+	w.written++
+
 	return w.comment(string(event))
 }
 
