Make the load client see cut answers, cut events and stalled feeds

The load client judges every other program, so what it misses stays hidden: - An event counted as received once its ID was read, even if the feed broke off in the ID or before the end of the event; resuming after it lost the event. - An answer that ended early without an error passed as whole. Backend servers now state the size of the body, and the client compares it. - A replay whose answer was too large to keep counted as failed. - Without ledgers, every answered non-idempotent request counted as lost. - A feed that fell silent was not noticed; feed_silence counts stalls. A failed dial left its transport behind. The stand-in backend server drew random numbers without its lock and hid a failed listener until the stop.

--- a/internal/program/backend/backend.go
+++ b/internal/program/backend/backend.go
@@ -21,6 +21,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -72,7 +73,7 @@
 	shed    atomic.Int64
 	mutex   sync.Mutex // guards random
 	random  *rand.Rand
-	stop    context.Context
+	stop    context.Context // ends feeds
 }
 
 // New returns a backend server. It listens once Run is called.
@@ -83,6 +84,7 @@
 		logger: logger,
 		slots:  make(chan struct{}, config.Slots),
 		random: rand.New(rand.NewPCG(config.Seed, uint64(config.Listen.Port()))),
+		stop:   context.Background(),
 	}
 }
 
@@ -98,9 +100,12 @@
 
 	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 
+	ctx, cancel := context.WithCancel(ctx)
+
 	var group conc.WaitGroup
 
 	defer group.Wait()
+	defer cancel() // also if the listener fails
 
 	group.Go(func() {
 		<-ctx.Done()
@@ -161,7 +166,7 @@
 	}
 
 	if s.config.Misreport {
-		report.Busy = -s.random.IntN(s.config.Slots + 1)
+		report.Busy = -s.draw(s.config.Slots + 1)
 	}
 
 	response.Header().Set("Content-Type", "application/json")
@@ -171,6 +176,13 @@
 	}
 }
 
+func (s *Server) draw(below int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.random.IntN(below)
+}
+
 // answer runs one request in a slot. Without a free slot it sheds the request
 // and says that it did not run.
 func (s *Server) answer(response http.ResponseWriter, request *http.Request, route Route) {
@@ -203,6 +215,7 @@
 	response.Header().Set("Content-Type", "text/plain")
 	// The echo lets a caller check that it got the answer to its own request.
 	response.Header().Set("Request-Echo", request.Header.Get("Request-Echo"))
+	response.Header().Set("Body-Size", strconv.Itoa(route.Size))
 
 	if _, err := response.Write([]byte(strings.Repeat("x", route.Size))); err != nil {
 		s.logger.Debug("answer not sent", "error", err)
--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -87,9 +88,7 @@
 
 	connection, err := transport.Dial(ctx, c.service, config, quicConfig)
 	if err != nil {
-		if closeErr := spray.Close(); closeErr != nil {
-			c.client.logger.Debug("caller socket not closed", "error", closeErr)
-		}
+		c.close(transport, spray)
 
 		return nil, newError("dial service", KindNetwork, err)
 	}
@@ -115,6 +114,10 @@
 		c.client.logger.Warn("flow broken", "workload", c.workload.Name, "cause", cause)
 	}
 
+	c.close(transport, spray)
+}
+
+func (c *caller) close(transport *quic.Transport, spray *sprayConn) {
 	if err := transport.Close(); err != nil {
 		c.client.logger.Debug("transport not closed", "error", err)
 	}
@@ -250,19 +253,25 @@
 	}
 	defer response.Body.Close()
 
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	size, err := io.Copy(io.Discard, response.Body)
+	if err != nil {
 		return attemptResult{outcome: failed, again: true}
 	}
 
-	return classify(response, echo)
+	return classify(response, echo, size)
 }
 
-func classify(response *http.Response, echo string) attemptResult {
+// classify tells what an answer means. An answer that was cut without an error
+// counts as mismatched, like one to another request.
+func classify(response *http.Response, echo string, size int64) attemptResult {
 	switch outcome := response.Header.Get("Jayspindle-Outcome"); {
 	case outcome == "not-run":
 		return attemptResult{outcome: notRun, again: true}
 	case outcome == "unknown":
 		return attemptResult{outcome: unknown}
+	case outcome == "replayed" && response.StatusCode == http.StatusGone:
+		// The request has run; its answer was too large to keep.
+		return attemptResult{outcome: answered, backendServer: response.Header.Get("Backend-Server")}
 	case response.StatusCode == http.StatusConflict:
 		return attemptResult{outcome: unknown, again: true}
 	case response.StatusCode != http.StatusOK:
@@ -272,6 +281,7 @@
 	return attemptResult{
 		outcome:       answered,
 		backendServer: response.Header.Get("Backend-Server"),
-		mismatched:    response.Header.Get("Request-Echo") != echo,
+		mismatched: response.Header.Get("Request-Echo") != echo ||
+			response.Header.Get("Body-Size") != strconv.FormatInt(size, 10),
 	}
 }
--- a/internal/program/load/feed.go
+++ b/internal/program/load/feed.go
@@ -20,7 +20,8 @@
 // closed.
 type feed struct {
 	caller *caller
-	last   int64 // newest event ID, 0 before the first
+	last   int64       // newest event ID, 0 before the first
+	stall  *time.Timer // counts a stalled feed, nil if that is not checked
 }
 
 func newFeed(c *caller) *feed {
@@ -28,6 +29,13 @@
 }
 
 func (f *feed) run(ctx context.Context) {
+	if silence := f.caller.workload.FeedSilence; silence > 0 {
+		result := f.caller.client.result
+		f.stall = time.AfterFunc(silence, func() { result.add(&result.FeedStalls) })
+
+		defer f.stall.Stop()
+	}
+
 	var current io.ReadCloser
 
 	for ctx.Err() == nil {
@@ -84,13 +92,20 @@
 func (f *feed) read(ctx context.Context, body io.ReadCloser) io.ReadCloser {
 	defer body.Close()
 
+	id := "" // of the event that has not ended yet
+
 	lines := bufio.NewScanner(body)
+
 	for lines.Scan() {
 		text := lines.Text()
 
 		switch {
 		case strings.HasPrefix(text, "id: "):
-			f.event(text[len("id: "):])
+			id = text[len("id: "):]
+		case text == "" && id != "":
+			f.event(id)
+
+			id = ""
 		case text == drainingComment:
 			if next := f.move(ctx); next != nil {
 				return next
@@ -124,6 +139,10 @@
 		return
 	}
 
+	if f.stall != nil {
+		f.stall.Reset(f.caller.workload.FeedSilence)
+	}
+
 	result := f.caller.client.result
 	result.add(&result.FeedEvents)
 
--- a/internal/program/load/load.go
+++ b/internal/program/load/load.go
@@ -79,9 +79,13 @@
 	group.Wait()
 	time.Sleep(settleTime)
 
-	runs, err := backend.CountRuns(c.config.Ledgers...)
-	if err != nil {
-		return nil, errors.Trace(err)
+	var runs map[string]int
+
+	if len(c.config.Ledgers) > 0 {
+		var err error
+		if runs, err = backend.CountRuns(c.config.Ledgers...); err != nil {
+			return nil, errors.Trace(err)
+		}
 	}
 
 	c.result.finish(runs)
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -55,7 +55,8 @@
 	FeedGaps       int64          `json:"feed_gaps"`
 	FeedDuplicates int64          `json:"feed_duplicates"`
 	FeedMoves      int64          `json:"feed_moves"`
-	Imbalance      float64        `json:"imbalance"` // busiest backend server over the mean
+	FeedStalls     int64          `json:"feed_stalls"` // no event for the feed_silence of the workload
+	Imbalance      float64        `json:"imbalance"`   // busiest backend server over the mean
 	// BackendServers counts answers by service and backend server.
 	BackendServers map[string]map[string]int64 `json:"backend_servers"`
 	RunTwice       int64                       `json:"run_twice"`
@@ -152,6 +153,7 @@
 }
 
 // finish computes quantiles, imbalance and the comparison with the ledgers.
+// Without ledgers, runs is nil and nothing is compared.
 func (r *Result) finish(runs map[string]int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -170,6 +172,10 @@
 
 	r.Recorded = int64(len(runs))
 
+	if runs == nil {
+		return
+	}
+
 	for key, outcome := range r.outcomes {
 		switch count := runs[key]; {
 		case count > 1:
@@ -206,7 +212,7 @@
 // Kept reports whether no flow broke, no feed lost or repeated an event, and
 // no request ran twice, was lost, or ran after it was refused with "not run".
 func (r *Result) Kept() bool {
-	broken := r.BrokenFlows + r.FeedGaps + r.FeedDuplicates + r.RunTwice + r.Lost + r.Phantom
+	broken := r.BrokenFlows + r.FeedGaps + r.FeedDuplicates + r.FeedStalls + r.RunTwice + r.Lost + r.Phantom
 	for _, class := range r.Classes {
 		broken += class.Mismatched + class.Failed
 	}
@@ -240,9 +246,9 @@
 
 	fmt.Fprintln(table)
 	fmt.Fprintln(table,
-		"flows\tbroken\tfeed events\tgaps\tduplicates\tmoves\trun twice\tlost\tran after refusal\timbalance\t")
-	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n",
-		r.Flows, r.BrokenFlows, r.FeedEvents, r.FeedGaps, r.FeedDuplicates, r.FeedMoves,
+		"flows\tbroken\tfeed events\tgaps\tduplicates\tstalls\tmoves\trun twice\tlost\tran after refusal\timbalance\t")
+	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n",
+		r.Flows, r.BrokenFlows, r.FeedEvents, r.FeedGaps, r.FeedDuplicates, r.FeedStalls, r.FeedMoves,
 		r.RunTwice, r.Lost, r.Phantom, r.Imbalance)
 
 	if err := table.Flush(); err != nil {
--- a/internal/program/load/settings.go
+++ b/internal/program/load/settings.go
@@ -34,6 +34,10 @@
 	Callers  int       `yaml:"callers" validate:"min=1,max=100000"`
 	Feed     string    `yaml:"feed" validate:"omitempty,startswith=/"` // path of a feed that stays open
 	Requests []Request `yaml:"requests" validate:"dive"`
+
+	// FeedSilence is the time without an event after which a feed counts as
+	// stalled. 0 turns the check off; set it to several periods of the feed.
+	FeedSilence time.Duration `yaml:"feed_silence" validate:"min=0,max=24h"`
 }
 
 // Request is a kind of request that each caller of a workload sends.
