Renew in one batch per message, and free addresses before they pass on

The relay queued the renewals of a message one after the other, each for a batch of its own, and a lost reply held up all batches after it for 2 s: the leases of an availability zone could run out. Renewals of a message now join one batch, batches do not wait for each other, and timeouts leave an instance time to renew again within its 3 s. Two goroutines could also apply views at once. Counters can be published by several instances in one process.

--- a/internal/program/agent/packetconn.go
+++ b/internal/program/agent/packetconn.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"expvar"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -10,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/program/telemetry"
 	"jayspindle/internal/protocol/datagram"
 	"jayspindle/internal/state/view"
 )
@@ -110,7 +110,7 @@
 
 // publishCounters shows the decisions by reason under /debug/vars.
 func publishCounters(engine *forward.Agent) {
-	expvar.Publish("agent_datagrams", expvar.Func(func() any {
+	telemetry.Publish("agent_datagrams", func() any {
 		counts := engine.Counts()
 		byReason := make(map[string]uint64, len(counts))
 
@@ -119,7 +119,7 @@
 		}
 
 		return byReason
-	}))
+	})
 }
 
 // quicConn narrows a packetConn to what quic-go may use: its buffer sizes, but
--- a/internal/program/balancer/balancer.go
+++ b/internal/program/balancer/balancer.go
@@ -13,10 +13,10 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -52,6 +52,7 @@
 	pool     *udp.Pool
 	data     []*udp.Socket
 	engine   atomic.Pointer[forward.Balancer]
+	applying sync.Mutex // held while a view is put into force
 	services *listeners
 }
 
@@ -119,8 +120,12 @@
 	}
 }
 
-// apply puts a view into force. The member calls it for one view at a time.
+// apply puts a view into force. The member calls it for one view at a time, and
+// Run for the view that came before the engine.
 func (b *Balancer) apply(current *view.View) {
+	b.applying.Lock()
+	defer b.applying.Unlock()
+
 	engine := b.engine.Load()
 	if engine == nil {
 		return
@@ -148,6 +153,10 @@
 	group.Go(func() { b.relay.run(living) })
 
 	if err := b.member.Wait(ctx); err != nil {
+		for _, socket := range b.data {
+			_ = socket.Close() // nothing was served
+		}
+
 		return errors.Trace(err)
 	}
 
@@ -279,7 +288,7 @@
 
 // publishCounters shows the decisions by reason under /debug/vars.
 func (b *Balancer) publishCounters(engine *forward.Balancer) {
-	expvar.Publish("balancer_datagrams", expvar.Func(func() any {
+	telemetry.Publish("balancer_datagrams", func() any {
 		counts := engine.Counts()
 		byReason := make(map[string]uint64, len(counts))
 
@@ -288,5 +297,5 @@
 		}
 
 		return byReason
-	}))
+	})
 }
--- a/internal/program/balancer/listeners.go
+++ b/internal/program/balancer/listeners.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"net/netip"
 	"sync/atomic"
 
@@ -15,13 +16,13 @@
 type listeners struct {
 	balancer  *Balancer
 	published atomic.Pointer[map[view.ServiceID]listener]
-	group     conc.WaitGroup
 }
 
 // listener is the sockets of one service.
 type listener struct {
 	address netip.AddrPort
 	sockets []*udp.Socket
+	group   *conc.WaitGroup // of the goroutines that serve the sockets
 }
 
 func newListeners(balancer *Balancer) *listeners {
@@ -42,33 +43,41 @@
 	return found.sockets[0]
 }
 
-// update opens sockets for new services and closes those of removed ones. An
-// address that cannot be bound is logged and tried again with the next view.
+// update closes the sockets of removed services, then opens those of new ones.
+// Sockets share addresses (SO_REUSEPORT), so an address that passes from one
+// service to another must be free first: packets for the new service would
+// reach the old one. An address that cannot be bound is logged and tried again
+// with the next view.
 func (l *listeners) update(current *view.View) {
 	old := *l.published.Load()
 	next := make(map[view.ServiceID]listener, len(current.Services()))
 
 	for _, service := range current.Services() {
-		address := l.address(service)
-
-		if existing, ok := old[service.ID]; ok && existing.address == address {
+		if existing, ok := old[service.ID]; ok && existing.address == l.address(service) {
 			next[service.ID] = existing
+		}
+	}
+
+	kept := maps.Clone(next)
+	l.published.Store(&kept)
+
+	for id, existing := range old {
+		if _, ok := next[id]; !ok {
+			l.stop(existing)
+		}
+	}
 
+	for _, service := range current.Services() {
+		if _, ok := next[service.ID]; ok {
 			continue
 		}
 
-		if opened, ok := l.open(service, address); ok {
+		if opened, ok := l.open(service, l.address(service)); ok {
 			next[service.ID] = opened
 		}
 	}
 
 	l.published.Store(&next)
-
-	for id, existing := range old {
-		if kept, ok := next[id]; !ok || kept.address != existing.address {
-			l.stop(existing)
-		}
-	}
 }
 
 func (l *listeners) address(service view.Service) netip.AddrPort {
@@ -88,21 +97,26 @@
 		return listener{}, false
 	}
 
+	group := conc.NewWaitGroup()
+
 	for _, socket := range sockets {
-		l.group.Go(func() { l.balancer.serve(socket, l.balancer.fromCallers(service.ID)) })
+		group.Go(func() { l.balancer.serve(socket, l.balancer.fromCallers(service.ID)) })
 	}
 
 	l.balancer.logger.Info("service address bound", "service", service.Name, "address", address.String())
 
-	return listener{address: address, sockets: sockets}, true
+	return listener{address: address, sockets: sockets, group: group}, true
 }
 
+// stop returns when the sockets of a service are closed.
 func (l *listeners) stop(removed listener) {
 	for _, socket := range removed.sockets {
 		if err := socket.Stop(); err != nil {
 			l.balancer.logger.Warn("socket not stopped", "address", removed.address.String(), "error", err)
 		}
 	}
+
+	removed.group.Wait()
 }
 
 // close stops all sockets and waits for their goroutines.
@@ -110,6 +124,4 @@
 	for _, existing := range *l.published.Load() {
 		l.stop(existing)
 	}
-
-	l.group.Wait()
 }
--- a/internal/program/balancer/relay.go
+++ b/internal/program/balancer/relay.go
@@ -22,7 +22,9 @@
 	// for all instances of an availability zone. It stays well below the second
 	// after which an instance renews again.
 	batchInterval = 300 * time.Millisecond
-	callTimeout   = 2 * time.Second
+	// renewTimeout and batchInterval together stay below the second after which
+	// an instance renews again: with a lost reply it learns in time to do so.
+	renewTimeout = 600 * time.Millisecond
 )
 
 // relay serves views and membership calls to the instances of an availability
@@ -31,11 +33,17 @@
 	environment string
 	publisher   *rollout.Publisher
 	server      *link.Server
-	upstream    *link.Client
+	upstream    upstream
 	renewals    chan renewal
 	logger      *slog.Logger
 }
 
+// upstream calls the controllers.
+type upstream interface {
+	Call(ctx context.Context, method string, request, reply any) error
+	Close()
+}
+
 // renewal is one renewal that waits for its batch.
 type renewal struct {
 	renewal control.Renewal
@@ -92,7 +100,7 @@
 }
 
 // pass hands a call on to the controllers.
-func pass[Q, A any](ctx context.Context, upstream *link.Client, request *link.Request) (any, error) {
+func pass[Q, A any](ctx context.Context, upstream upstream, request *link.Request) (any, error) {
 	var (
 		message Q
 		reply   A
@@ -138,36 +146,48 @@
 	}
 }
 
-// renew adds the renewals of a call to the next batch.
+// renew answers control.MethodRenew.
 func (r *relay) renew(ctx context.Context, request *link.Request) (any, error) {
 	var message control.Renew
 	if err := request.Decode(&message); err != nil {
 		return nil, err
 	}
 
+	return r.join(ctx, message)
+}
+
+// join adds the renewals of a message to the next batch and waits for the reply.
+func (r *relay) join(ctx context.Context, message control.Renew) (*control.RenewReply, error) {
 	if message.Environment != r.environment {
 		return nil, link.Errorf(link.KindInvalid, "the relay serves %q, not %q", r.environment, message.Environment)
 	}
 
-	var reply control.RenewReply
+	// All are queued before the first is waited for, so that a message with many
+	// renewals takes one batch and not one for each.
+	waiting := make([]renewal, 0, len(message.Renewals))
 
 	for _, item := range message.Renewals {
-		waiting := renewal{renewal: item, result: make(chan renewalResult, 1)}
+		next := renewal{renewal: item, result: make(chan renewalResult, 1)}
 
 		select {
-		case r.renewals <- waiting:
+		case r.renewals <- next:
+			waiting = append(waiting, next)
 		default:
 			return nil, link.Errorf(link.KindBusy, "too many renewals wait")
 		}
+	}
+
+	var reply control.RenewReply
 
+	for _, item := range waiting {
 		select {
-		case result := <-waiting.result:
+		case result := <-item.result:
 			if result.err != nil {
 				return nil, result.err
 			}
 
 			if result.unknown {
-				reply.Unknown = append(reply.Unknown, item.Incarnation)
+				reply.Unknown = append(reply.Unknown, item.renewal.Incarnation)
 			}
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
@@ -177,8 +197,13 @@
 	return &reply, nil
 }
 
-// batch sends the collected renewals to the controllers.
+// batch sends the collected renewals to the controllers. A batch does not wait
+// for the reply to the one before: one lost reply would otherwise keep the whole
+// availability zone from renewing.
 func (r *relay) batch(ctx context.Context) {
+	var flushes conc.WaitGroup
+	defer flushes.Wait()
+
 	ticker := time.NewTicker(batchInterval)
 	defer ticker.Stop()
 
@@ -196,15 +221,16 @@
 			return
 		}
 
-		if len(waiting) > 0 {
-			r.flush(ctx, waiting)
+		if batch := waiting; len(batch) > 0 {
+			flushes.Go(func() { r.flush(ctx, batch) })
+
 			waiting = nil
 		}
 	}
 }
 
 func (r *relay) flush(ctx context.Context, waiting []renewal) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 
 	request := control.Renew{Environment: r.environment}
--- a/internal/program/member/member.go
+++ b/internal/program/member/member.go
@@ -37,8 +37,10 @@
 const (
 	// renewInterval gives a lease of 3 s three chances to be renewed.
 	renewInterval = time.Second
-	callTimeout   = 2 * time.Second
-	bootIDLength  = 16
+	// renewTimeout gives up on a lost renewal in time for the next one.
+	renewTimeout = renewInterval
+	callTimeout  = 2 * time.Second
+	bootIDLength = 16
 )
 
 // Options are the dependencies of a member.
@@ -243,7 +245,7 @@
 // renew reports whether the instance is still known. An error of the link says
 // nothing about that.
 func (m *Member) renew(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 
 	renewal := control.Renewal{Incarnation: m.Incarnation(), Load: m.options.Load()}
--- a/internal/program/telemetry/telemetry.go
+++ b/internal/program/telemetry/telemetry.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -165,6 +166,34 @@
 	}
 }
 
+// Publish shows the value of a function under a name in /debug/vars. A later
+// call with the same name replaces the function, so that a process, such as a
+// test, can hold several instances of a program.
+func Publish(name string, value func() any) {
+	fresh := &published{}
+	fresh.value.Store(&value)
+
+	publishing.Lock()
+	defer publishing.Unlock()
+
+	if known, ok := expvar.Get(name).(*published); ok {
+		known.value.Store(&value)
+
+		return
+	}
+
+	expvar.Publish(name, fresh)
+}
+
+// publishing guards the step from the look-up of a name to its publication.
+var publishing sync.Mutex
+
+// published is a variable whose function can be replaced.
+type published struct{ value atomic.Pointer[func() any] }
+
+// String returns the value as JSON.
+func (p *published) String() string { return expvar.Func(*p.value.Load()).String() }
+
 // Logger returns the logger of the process.
 func (t *Telemetry) Logger() *slog.Logger { return t.logger }
 
