Claim again after a gap in the memberships, and hand claims off safely

An agent that was suspended and cut off for longer than maxUnconfirmed claimed again as soon as a leader confirmed its view. It had not seen the memberships in between, so that a request that ran under one of them could run again. The history now counts again once a sibling has told its own, or all have. A new agent assumed that no claim exists when its siblings were unconfirmed after an outage of the controllers; they now say that they have run before. A transfer to an agent without incarnation crashed it, parts of abandoned transfers were kept for ever, a refused seat was lost instead of offered to the next sibling, the map of moved seats was encoded while it changed, and calls to a silent holder were unbounded.

--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -23,7 +23,10 @@
 	// retention, at most 250 MB if every answer has the largest size.
 	defaultCapacity = 60_000
 	claimCall       = 500 * time.Millisecond
-	expireInterval  = time.Second
+	// maxCalls bounds the calls in progress to one holder. Claimants repeat what
+	// is not answered, so that a silent holder would collect thousands.
+	maxCalls       = 256
+	expireInterval = time.Second
 )
 
 // caller calls a method of another agent.
@@ -35,7 +38,8 @@
 type claimOptions struct {
 	service   string // name
 	zone      string
-	capacity  int // claims held at most, 0 means defaultCapacity
+	capacity  int           // claims held at most, 0 means defaultCapacity
+	retention time.Duration // 0 means the constant
 	self      func() view.Incarnation
 	serviceID func() view.ServiceID
 	confirmed func(now time.Time) bool // whether a leader confirmed the view lately
@@ -52,12 +56,20 @@
 	background conc.WaitGroup // calls to siblings in progress
 
 	// Owned by the goroutine of run.
-	store    *claim.Store
-	history  *claim.History
-	agents   map[view.Incarnation]view.Agent
+	store   *claim.Store
+	history *claim.History
+	agents  map[view.Incarnation]view.Agent
+	// confirmedAt is when a leader last confirmed the view. After a gap of more
+	// than maxUnconfirmed, memberships may have come and gone unseen, under which
+	// others have claimed: the history counts again once siblings have told theirs.
+	confirmedAt time.Time
+	gap         bool
+	established bool // the history was complete once
+
 	active   map[uint64]*activeClaim // by sequence of the execution
 	sequence uint64
-	incoming map[view.Incarnation][]byte // transfers by seat, as far as received
+	incoming map[view.Incarnation]*incoming // transfers by seat, as far as received
+	calls    map[view.Incarnation]int       // calls in progress by holder
 }
 
 // activeClaim is a claimant and the request that waits for its decision.
@@ -72,27 +84,32 @@
 		options.capacity = defaultCapacity
 	}
 
+	if options.retention == 0 {
+		options.retention = retention
+	}
+
 	return &claims{
 		claimOptions: options,
 		events:       make(chan func(now time.Time), 64),
 		stopped:      make(chan struct{}),
-		history:      claim.NewHistory(time.Now(), retention, maxUnconfirmed),
+		history:      claim.NewHistory(time.Now(), options.retention, maxUnconfirmed),
 		agents:       make(map[view.Incarnation]view.Agent),
 		active:       make(map[uint64]*activeClaim),
-		incoming:     make(map[view.Incarnation][]byte),
+		incoming:     make(map[view.Incarnation]*incoming),
+		calls:        make(map[view.Incarnation]int),
 	}
 }
 
 // run owns the state until the context ends.
 func (c *claims) run(ctx context.Context) {
-	defer close(c.stopped)
+	defer c.background.Wait()
+	defer close(c.stopped) // first, since calls in progress may wait for it
 
 	timer := time.NewTimer(expireInterval)
 	defer timer.Stop()
 
 	expiry := time.NewTicker(expireInterval)
 	defer expiry.Stop()
-	defer c.background.Wait()
 
 	for {
 		select {
@@ -158,7 +175,7 @@
 // ensureStore creates the store once the incarnation is known.
 func (c *claims) ensureStore() {
 	if own := c.self(); c.store == nil && own != 0 {
-		c.store = claim.NewStore(own, retention, c.capacity)
+		c.store = claim.NewStore(own, c.retention, c.capacity)
 	}
 }
 
@@ -166,10 +183,8 @@
 // has started recently.
 func (c *claims) housekeep(ctx context.Context, now time.Time) {
 	c.ensureStore()
-
-	if c.confirmed(now) {
-		c.history.Confirm(now)
-	}
+	c.confirm(now)
+	c.dropTransfers(now)
 
 	if c.store == nil {
 		return
@@ -177,8 +192,32 @@
 
 	c.store.Expire(now)
 
-	if !c.history.Complete(now) {
+	switch {
+	case !c.confirmed(now):
+		// Nothing can be claimed on this view, whatever siblings know.
+	case c.gap || !c.history.Complete(now):
 		c.askPast(ctx)
+	default:
+		c.established = true
+	}
+}
+
+// confirm passes the confirmation of the view on to the history, unless there
+// was a gap that is not filled yet.
+func (c *claims) confirm(now time.Time) {
+	if !c.confirmed(now) {
+		return
+	}
+
+	if c.established && now.Sub(c.confirmedAt) > maxUnconfirmed {
+		c.gap = true
+		c.logger.Warn("memberships may have been missed, siblings are asked", "unconfirmed_for", now.Sub(c.confirmedAt))
+	}
+
+	c.confirmedAt = now
+
+	if !c.gap {
+		c.history.Confirm(now)
 	}
 }
 
@@ -228,6 +267,11 @@
 		return
 	}
 
+	if c.calls[message.To] >= maxCalls {
+		return
+	}
+
+	c.calls[message.To]++
 	client := c.sibling(holder)
 
 	c.background.Go(func() {
@@ -235,13 +279,21 @@
 		defer cancel()
 
 		var reply claim.Reply
-		if err := client.Call(limited, methodClaim, &message.Request, &reply); err != nil {
-			c.logger.Debug("holder did not answer", "holder", message.To, "error", err)
 
-			return
+		err := client.Call(limited, methodClaim, &message.Request, &reply)
+		if err != nil {
+			c.logger.Debug("holder did not answer", "holder", message.To, "error", err)
 		}
 
-		c.post(ctx, func(now time.Time) { c.reply(now, reply) })
+		c.post(ctx, func(now time.Time) {
+			if c.calls[message.To]--; c.calls[message.To] == 0 {
+				delete(c.calls, message.To)
+			}
+
+			if err == nil {
+				c.reply(now, reply)
+			}
+		})
 	})
 }
 
@@ -312,6 +364,10 @@
 		return nil, err
 	}
 
+	return c.answerClaim(ctx, message)
+}
+
+func (c *claims) answerClaim(ctx context.Context, message claim.Request) (*claim.Reply, error) {
 	var reply *claim.Reply
 
 	c.do(ctx, func(now time.Time) {
--- a/internal/program/agent/seats.go
+++ b/internal/program/agent/seats.go
@@ -1,13 +1,17 @@
 package agent
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"jayspindle/internal/coordination/claim"
+	"jayspindle/internal/protocol/peer"
 	"jayspindle/internal/state/view"
 	"jayspindle/internal/transport/link"
 )
@@ -33,6 +37,26 @@
 type pastReply struct {
 	Complete bool       `cbor:"1,keyasint"`
 	Past     claim.Past `cbor:"2,keyasint"`
+	// Established agents have run for long enough to have claimed, even if their
+	// history is not complete at the moment.
+	Established bool `cbor:"3,keyasint,omitempty"`
+}
+
+// covers reports whether the reply leads up to the newest membership of own.
+func (p *pastReply) covers(own claim.Past) bool {
+	if len(p.Past.Eras) == 0 || len(own.Eras) == 0 {
+		return false
+	}
+
+	theirs, newest := p.Past.Eras[len(p.Past.Eras)-1], own.Eras[len(own.Eras)-1]
+
+	return !theirs.Position.Less(newest.Position) || slices.Equal(theirs.Members, newest.Members)
+}
+
+// incoming is a transfer of which parts have arrived.
+type incoming struct {
+	bytes []byte
+	last  time.Time // of the newest part
 }
 
 // transferPart is a part of the claims of a seat that moves.
@@ -50,17 +74,27 @@
 		return nil, err
 	}
 
+	return c.answerPast(ctx), nil
+}
+
+func (c *claims) answerPast(ctx context.Context) *pastReply {
 	var reply pastReply
 
 	c.do(ctx, func(now time.Time) {
-		reply = pastReply{Complete: c.history.Complete(now), Past: c.history.Past(now)}
+		reply = pastReply{
+			Complete: c.history.Complete(now) && !c.gap, Past: c.history.Past(now), Established: c.established,
+		}
+		// The history goes on changing its map while the reply is encoded.
+		reply.Past.Moved = maps.Clone(reply.Past.Moved)
 	})
 
-	return &reply, nil
+	return &reply
 }
 
-// askPast asks all siblings which memberships there were. If all of them
-// answer and none knows, no claim exists: the service has just started.
+// askPast asks all siblings which memberships there were. One with a complete
+// history is enough. If all of them answer and none has run for long, no claim
+// exists: the service has just started. If all have missed a part, as after an
+// outage of the controllers, what they know together is what there was.
 func (c *claims) askPast(ctx context.Context) {
 	siblings := make([]view.Agent, 0, len(c.agents))
 
@@ -79,7 +113,7 @@
 		limited, cancel := context.WithTimeout(ctx, pastTimeout)
 		defer cancel()
 
-		fresh := 0
+		replies := make([]pastReply, 0, len(siblings))
 
 		for _, sibling := range siblings {
 			var reply pastReply
@@ -87,28 +121,45 @@
 				continue
 			}
 
-			if reply.Complete {
-				c.post(ctx, func(now time.Time) { c.history.Merge(now, reply.Past) })
+			replies = append(replies, reply)
 
-				return
+			if reply.Complete {
+				break
 			}
-
-			fresh++
 		}
 
-		if fresh == len(siblings) {
-			c.post(ctx, func(now time.Time) { c.history.AssumeFirst(now) })
-		}
+		c.post(ctx, func(now time.Time) { c.learn(now, replies, len(replies) == len(siblings)) })
 	})
 }
 
+// learn takes the replies of siblings into account.
+func (c *claims) learn(now time.Time, replies []pastReply, all bool) {
+	own := c.history.Past(now)
+	complete := slices.ContainsFunc(replies, func(reply pastReply) bool { return reply.Complete && reply.covers(own) })
+	established := slices.ContainsFunc(replies, func(reply pastReply) bool { return reply.Established })
+
+	for _, reply := range replies {
+		if reply.Complete || reply.Established {
+			c.history.Merge(now, reply.Past)
+		}
+	}
+
+	if c.gap && (complete || all) {
+		c.gap = false
+		c.confirm(now)
+	}
+
+	if all && !established && !c.established {
+		c.history.AssumeFirst(now)
+	}
+}
+
 // handOff moves the seats of a leaving agent to a sibling, so that its claims
 // are still known afterwards.
 func (c *claims) handOff(ctx context.Context) {
 	var (
-		seats     []view.Incarnation
-		successor view.Agent
-		found     bool
+		seats      []view.Incarnation
+		successors []view.Agent
 	)
 
 	c.do(ctx, func(time.Time) {
@@ -116,57 +167,78 @@
 			seats = c.store.Seats()
 		}
 
-		successor, found = c.successor()
+		successors = c.successors()
 	})
 
-	if !found {
-		return
-	}
-
 	for _, seat := range seats {
-		if err := c.moveSeat(ctx, seat, successor); err != nil {
+		for _, successor := range successors {
+			moved, err := c.moveSeat(ctx, seat, successor)
+			if err == nil {
+				break
+			}
+
 			c.logger.Warn("claims not handed off", "seat", seat, "successor", successor.Incarnation, "error", err)
+
+			if moved {
+				break
+			}
 		}
 	}
 }
 
-// successor prefers an active agent in the same availability zone, where the
-// leaving agent counted too.
-func (c *claims) successor() (view.Agent, bool) {
-	var (
-		best  view.Agent
-		found bool
-	)
+// successors returns the active siblings, those in the same availability zone
+// first, where the leaving agent counted too.
+func (c *claims) successors() []view.Agent {
+	found := make([]view.Agent, 0, len(c.agents))
 
 	for incarnation, agent := range c.agents {
-		if incarnation == c.self() || agent.State != view.Active {
-			continue
+		if incarnation != c.self() && agent.State == view.Active {
+			found = append(found, agent)
 		}
+	}
+
+	slices.SortFunc(found, func(a, b view.Agent) int {
+		if near := a.Zone == c.zone; near != (b.Zone == c.zone) {
+			if near {
+				return -1
+			}
 
-		near := agent.Zone == c.zone
-		if !found || (near && best.Zone != c.zone) {
-			best, found = agent, true
+			return 1
 		}
-	}
 
-	return best, found
+		return cmp.Compare(a.Incarnation, b.Incarnation)
+	})
+
+	return found
 }
 
-func (c *claims) moveSeat(ctx context.Context, seat view.Incarnation, successor view.Agent) error {
-	var (
-		transfer claim.Transfer
-		err      error
-	)
+// moveSeat transfers the claims of a seat. With an error it reports whether the
+// successor may have taken the seat over; if not, the seat is here again.
+func (c *claims) moveSeat(ctx context.Context, seat view.Incarnation, successor view.Agent) (moved bool, err error) {
+	var transfer claim.Transfer
 
 	c.do(ctx, func(now time.Time) { transfer, err = c.store.Export(now, seat, successor.Incarnation) })
 
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 
+	if moved, err = c.sendSeat(ctx, transfer, successor); err == nil || moved {
+		return moved, err
+	}
+
+	cause := err
+
+	c.do(ctx, func(now time.Time) { err = c.store.Restore(now, transfer) })
+
+	return err != nil, cause
+}
+
+// sendSeat sends a transfer in parts. The successor takes it over with the last.
+func (c *claims) sendSeat(ctx context.Context, transfer claim.Transfer, successor view.Agent) (moved bool, err error) {
 	encoded, err := claim.Encode(transfer)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, transferCall)
@@ -176,14 +248,16 @@
 
 	for offset := 0; ; offset += partSize {
 		end := min(offset+partSize, len(encoded))
-		part := transferPart{Seat: seat, Offset: offset, Bytes: encoded[offset:end], Last: end == len(encoded)}
+		part := transferPart{Seat: transfer.Seat, Offset: offset, Bytes: encoded[offset:end], Last: end == len(encoded)}
 
 		if err := client.Call(ctx, methodTransfer, &part, &empty{}); err != nil {
-			return errors.Trace(err)
+			refused := link.KindOf(err) == link.KindInvalid || linkFailure(err).state == peer.NotRun
+
+			return part.Last && !refused, errors.Trace(err)
 		}
 
 		if part.Last {
-			return nil
+			return true, nil
 		}
 	}
 }
@@ -198,9 +272,15 @@
 		return nil, err
 	}
 
+	return c.answerTransfer(ctx, part)
+}
+
+func (c *claims) answerTransfer(ctx context.Context, part transferPart) (*empty, error) {
 	var err error
 
-	c.do(ctx, func(now time.Time) { err = c.receivePart(now, part) })
+	if !c.do(ctx, func(now time.Time) { err = c.receivePart(now, part) }) {
+		return nil, link.Errorf(link.KindBusy, "the agent is stopping")
+	}
 
 	if err != nil {
 		return nil, link.NewError(link.KindInvalid, err)
@@ -209,20 +289,34 @@
 	return &empty{}, nil
 }
 
+// dropTransfers forgets transfers whose sender has given up.
+func (c *claims) dropTransfers(now time.Time) {
+	maps.DeleteFunc(c.incoming, func(_ view.Incarnation, received *incoming) bool {
+		return now.Sub(received.last) > transferCall
+	})
+}
+
 // receivePart collects the parts of a transfer in order and imports the whole.
 func (c *claims) receivePart(now time.Time, part transferPart) error {
+	if c.store == nil {
+		return errors.New("the agent has no incarnation yet")
+	}
+
 	received := c.incoming[part.Seat]
-	if part.Offset == 0 {
-		received = nil
+	if received == nil || part.Offset == 0 {
+		received = &incoming{}
+		c.incoming[part.Seat] = received
 	}
 
-	if part.Offset != len(received) || len(received)+len(part.Bytes) > maxTransfer {
+	if part.Offset != len(received.bytes) || len(received.bytes)+len(part.Bytes) > maxTransfer {
 		delete(c.incoming, part.Seat)
 
-		return errors.Errorf("part at %d does not follow %d bytes", part.Offset, len(received))
+		return errors.Errorf("part at %d does not follow %d bytes", part.Offset, len(received.bytes))
 	}
 
-	c.incoming[part.Seat] = append(received, part.Bytes...)
+	received.bytes = append(received.bytes, part.Bytes...)
+	received.last = now
+
 	if !part.Last {
 		return nil
 	}
@@ -230,7 +324,7 @@
 	defer delete(c.incoming, part.Seat)
 
 	var transfer claim.Transfer
-	if err := cbor.Unmarshal(c.incoming[part.Seat], &transfer); err != nil {
+	if err := cbor.Unmarshal(received.bytes, &transfer); err != nil {
 		return errors.Trace(err)
 	}
 
