--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -24,7 +24,10 @@
 	// retention, at most 250 MB if every answer has the largest size.
 	defaultCapacity = 60_000
 	claimCall       = 500 * time.Millisecond
-	expireInterval  = time.Second
+	// maxCalls bounds the calls in progress to one holder. Claimants repeat what
+	// is not answered, so that a silent holder would collect thousands.
+	maxCalls       = 256
+	expireInterval = time.Second
 	// pastInterval is short, because non-idempotent requests wait meanwhile.
 	pastInterval = 200 * time.Millisecond
 )
@@ -38,12 +41,16 @@
 type claimOptions struct {
 	service   string // name
 	zone      string
-	capacity  int // claims held at most, 0 means defaultCapacity
-	self      func() view.Incarnation
-	serviceID func() view.ServiceID
-	confirmed func(now time.Time) bool // whether a leader confirmed the view lately
-	sibling   func(agent view.Agent) caller
-	logger    *slog.Logger
+	capacity  int           // claims held at most, 0 means defaultCapacity
+	retention time.Duration // 0 means the constant
+	// maxUnconfirmed is how long the agent claims without a confirmation of its
+	// view, 0 means the constant.
+	maxUnconfirmed time.Duration
+	self           func() view.Incarnation
+	serviceID      func() view.ServiceID
+	confirmed      func(now time.Time) bool // whether a leader confirmed the view lately
+	sibling        func(agent view.Agent) caller
+	logger         *slog.Logger
 }
 
 // claims runs non-idempotent requests at most once. One goroutine owns the
@@ -51,18 +58,26 @@
 type claims struct {
 	claimOptions
 	events     chan func(now time.Time)
+	stopped    chan struct{}  // closed when run has ended
 	background conc.WaitGroup // calls to siblings in progress
 
 	// Owned by the goroutine of run.
-	store    *claim.Store
-	history  *claim.History
-	informed bool      // as of the last check of the history
-	expired  time.Time // last time that old claims were dropped
-	asking   bool      // a call for the past is in progress
-	agents   map[view.Incarnation]view.Agent
+	store   *claim.Store
+	history *claim.History
+	agents  map[view.Incarnation]view.Agent
+	// confirmedAt is when a leader last confirmed the view. After a gap of more
+	// than maxUnconfirmed, memberships may have come and gone unseen, under which
+	// others have claimed: the history counts again once siblings have told theirs.
+	confirmedAt time.Time
+	gap         bool
+	established bool // the history was complete once
+
+	expired  time.Time               // last time that old claims were dropped
+	asking   bool                    // a call for the past is in progress
 	active   map[uint64]*activeClaim // by sequence of the execution
 	sequence uint64
-	incoming map[view.Incarnation][]byte // transfers by seat, as far as received
+	incoming map[view.Incarnation]*incoming // transfers by seat, as far as received
+	calls    map[view.Incarnation]int       // calls in progress by holder
 }
 
 // activeClaim is a claimant and the request that waits for its decision.
@@ -77,24 +92,36 @@
 		options.capacity = defaultCapacity
 	}
 
+	if options.retention == 0 {
+		options.retention = retention
+	}
+
+	if options.maxUnconfirmed == 0 {
+		options.maxUnconfirmed = maxUnconfirmed
+	}
+
 	return &claims{
 		claimOptions: options,
 		events:       make(chan func(now time.Time), 64),
-		history:      claim.NewHistory(time.Now(), retention, maxUnconfirmed),
+		stopped:      make(chan struct{}),
+		history:      claim.NewHistory(time.Now(), options.retention, options.maxUnconfirmed),
 		agents:       make(map[view.Incarnation]view.Agent),
 		active:       make(map[uint64]*activeClaim),
-		incoming:     make(map[view.Incarnation][]byte),
+		incoming:     make(map[view.Incarnation]*incoming),
+		calls:        make(map[view.Incarnation]int),
 	}
 }
 
 // run owns the state until the context ends.
 func (c *claims) run(ctx context.Context) {
+	defer c.background.Wait()
+	defer close(c.stopped) // first, since calls in progress may wait for it
+
 	timer := time.NewTimer(expireInterval)
 	defer timer.Stop()
 
 	expiry := time.NewTicker(pastInterval)
 	defer expiry.Stop()
-	defer c.background.Wait()
 
 	for {
 		select {
@@ -111,12 +138,18 @@
 	}
 }
 
-// do runs an event on the goroutine that owns the state and waits for it.
+// do runs an event on the goroutine that owns the state and waits for it. It
+// reports false if the event has not run and will not. Once the event is in
+// the queue, the end of the context does not matter any more: an event that runs
+// after do has returned would change variables that its caller reads, and would
+// begin claims that nobody ends.
 func (c *claims) do(ctx context.Context, event func(now time.Time)) bool {
 	done := make(chan struct{})
 
 	select {
 	case c.events <- func(now time.Time) { event(now); close(done) }:
+	case <-c.stopped:
+		return false
 	case <-ctx.Done():
 		return false
 	}
@@ -124,7 +157,7 @@
 	select {
 	case <-done:
 		return true
-	case <-ctx.Done():
+	case <-c.stopped:
 		return false
 	}
 }
@@ -133,6 +166,7 @@
 func (c *claims) post(ctx context.Context, event func(now time.Time)) {
 	select {
 	case c.events <- event:
+	case <-c.stopped:
 	case <-ctx.Done():
 	}
 }
@@ -153,7 +187,7 @@
 // ensureStore creates the store once the incarnation is known.
 func (c *claims) ensureStore() {
 	if own := c.self(); c.store == nil && own != 0 {
-		c.store = claim.NewStore(own, retention, c.capacity)
+		c.store = claim.NewStore(own, c.retention, c.capacity)
 	}
 }
 
@@ -161,10 +195,8 @@
 // has started recently.
 func (c *claims) housekeep(ctx context.Context, now time.Time) {
 	c.ensureStore()
-
-	if c.confirmed(now) {
-		c.history.Confirm(now)
-	}
+	c.confirm(now)
+	c.dropTransfers(now)
 
 	if c.store == nil {
 		return
@@ -175,14 +207,32 @@
 		c.expired = now
 	}
 
-	complete := c.history.Complete(now)
-	if complete != c.informed {
-		c.informed = complete
-		c.logger.Info("history of memberships", "complete", complete)
+	switch {
+	case !c.confirmed(now):
+		// Nothing can be claimed on this view, whatever siblings know.
+	case c.gap || !c.history.Complete(now):
+		c.askPast(ctx)
+	default:
+		c.established = true
 	}
+}
 
-	if !complete {
-		c.askPast(ctx)
+// confirm passes the confirmation of the view on to the history, unless there
+// was a gap that is not filled yet.
+func (c *claims) confirm(now time.Time) {
+	if !c.confirmed(now) {
+		return
+	}
+
+	if c.established && now.Sub(c.confirmedAt) > c.maxUnconfirmed {
+		c.gap = true
+		c.logger.Warn("memberships may have been missed, siblings are asked", "unconfirmed_for", now.Sub(c.confirmedAt))
+	}
+
+	c.confirmedAt = now
+
+	if !c.gap {
+		c.history.Confirm(now)
 	}
 }
 
@@ -235,6 +285,11 @@
 		return
 	}
 
+	if c.calls[message.To] >= maxCalls {
+		return
+	}
+
+	c.calls[message.To]++
 	client := c.sibling(holder)
 
 	c.background.Go(func() {
@@ -242,13 +297,21 @@
 		defer cancel()
 
 		var reply claim.Reply
-		if err := client.Call(limited, methodClaim, &message.Request, &reply); err != nil {
-			c.logger.Debug("holder did not answer", "holder", message.To, "error", err)
 
-			return
+		err := client.Call(limited, methodClaim, &message.Request, &reply)
+		if err != nil {
+			c.logger.Debug("holder did not answer", "holder", message.To, "error", err)
 		}
 
-		c.post(ctx, func(now time.Time) { c.reply(now, reply) })
+		c.post(ctx, func(now time.Time) {
+			if c.calls[message.To]--; c.calls[message.To] == 0 {
+				delete(c.calls, message.To)
+			}
+
+			if err == nil {
+				c.reply(now, reply)
+			}
+		})
 	})
 }
 
@@ -286,7 +349,12 @@
 	}
 
 	// The claim decides within claim.ClaimTimeout, so this wait is bounded.
-	return active, <-decided
+	select {
+	case decision := <-decided:
+		return active, decision
+	case <-c.stopped:
+		return nil, claim.Decision{Verdict: claim.Unknown, Reason: "the agent is stopping"}
+	}
 }
 
 // register adds the methods that siblings call.
@@ -315,6 +383,10 @@
 		return nil, err
 	}
 
+	return c.answerClaim(ctx, message)
+}
+
+func (c *claims) answerClaim(ctx context.Context, message claim.Request) (*claim.Reply, error) {
 	var reply *claim.Reply
 
 	c.do(ctx, func(now time.Time) {
