--- a/internal/program/agent/local.go
+++ b/internal/program/agent/local.go
@@ -5,6 +5,9 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
+
+	"github.com/juju/errors"
 
 	"jayspindle/internal/coordination/admission"
 	"jayspindle/internal/protocol/peer"
@@ -13,15 +16,22 @@
 // result is what became of a call. The body of an answer must be closed.
 type result struct {
 	state  peer.State
+	cause  cause
 	reason string
 	status int
 	header http.Header
 	body   io.ReadCloser
 }
 
-func notRun(reason string) *result { return &result{state: peer.NotRun, reason: reason} }
+func notRun(why cause, reason string) *result {
+	return &result{state: peer.NotRun, cause: why, reason: reason}
+}
+
+func unknown(why cause, reason string) *result {
+	return &result{state: peer.Unknown, cause: why, reason: reason}
+}
 
-func unknown(reason string) *result { return &result{state: peer.Unknown, reason: reason} }
+func (r *result) mayHaveRun() bool { return r.state != peer.NotRun }
 
 // runner runs a call somewhere.
 type runner interface {
@@ -38,7 +48,7 @@
 // body of the answer is closed.
 func (l *local) run(ctx context.Context, c *call) *result {
 	if !l.backend.healthy.Load() {
-		return notRun("backend server unhealthy")
+		return notRun(causeUnhealthy, string(causeUnhealthy))
 	}
 
 	// A feed has a deadline for its first byte only.
@@ -47,23 +57,41 @@
 
 	granted, reason := l.gate.enter(waiting, c.class.Name, c.deadline)
 	if granted == nil {
-		return notRun(string(reason))
+		return notRun(cause(reason), string(reason))
 	}
 
-	handing, stop := l.handOverContext(ctx, c)
+	return l.handOver(ctx, c, granted)
+}
 
-	response, ran, err := l.backend.send(handing, c) //nolint:bodyclose // closed with the body of the result
-	if err != nil {
-		stop()
-		granted.close(admission.Abandoned)
+// handOver sends the call to the backend server. The slot is freed even if a
+// panic passes through, which the HTTP server turns into a reset stream.
+func (l *local) handOver(ctx context.Context, c *call, granted *pass) *result {
+	handing, started, stop := handOverContext(ctx, c)
+
+	held := false
 
-		if !ran {
-			return notRun(err.Error())
+	defer func() {
+		if !held {
+			stop()
+			granted.close(admission.Abandoned)
 		}
+	}()
 
-		return unknown(err.Error())
+	response, ran, err := l.backend.send(handing, c) //nolint:bodyclose // closed with the body of the result
+
+	switch {
+	case err != nil && ran:
+		return unknown(causeBroken, err.Error())
+	case errors.Is(err, errShed):
+		return notRun(causeShed, err.Error())
+	case err != nil:
+		return notRun(causeConnect, err.Error())
 	}
 
+	started()
+
+	held = true
+
 	return &result{
 		state:  peer.Answered,
 		status: response.StatusCode,
@@ -73,13 +101,21 @@
 }
 
 // handOverContext carries the deadline and the caller's cancellation to the
-// backend server. A feed has no deadline once it has started.
-func (*local) handOverContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	if c.class.Feed {
-		return context.WithCancel(ctx)
+// backend server. The deadline of a feed ends when the feed has started.
+func handOverContext(ctx context.Context, c *call) (_ context.Context, started, stop func()) {
+	if !c.class.Feed {
+		ctx, cancel := context.WithDeadline(ctx, c.deadline)
+
+		return ctx, func() {}, cancel
 	}
 
-	return context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
+
+	return ctx, func() { limit.Stop() }, func() {
+		limit.Stop()
+		cancel(nil)
+	}
 }
 
 // slotBody frees the slot when the body is closed.
