Let the demo wait for the start ramp of its agents

Cause: the demo's imbalance was 1.10 to 1.45 although placement is even: agents that have started take their full share of requests only after 10 s, and the load began before.

Change: the demo waits 12 s before the load.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -43,7 +43,7 @@
 jayspindle promote -author works
 sign_both production
 await_production
-sleep 2 # every instance reports what it holds once a second
+sleep 12 # agents that started take their full share after 10 s
 jayspindle status -environment production
 
 step "20 s of load; balancer-2 is killed after 5 s, crew-link-3 drains after 9 s"
