Add Magnolia's deployment and make the scripts general

Cause: the second deployment had a document only, and the scripts knew the names of the first.

Change: examples/*/deployment.sh names availability zones, services and owners; make demo EXAMPLE=magnolia runs the other one.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Commands for users and developers. The README explains each of them.
 
+EXAMPLE ?= kitakyushu
 SEED ?= 1
 DURATION ?= 60s
 RUN ?= .
@@ -12,7 +13,7 @@
 	go build -o bin/jayspindle .
 
 demo: build
-	bash scripts/demo.sh
+	bash scripts/demo.sh $(EXAMPLE)
 
 test: lint unit
 
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -1,9 +1,12 @@
-# Functions that build the example deployment of Kitakyushu on loopback: keys,
-# settings and processes. Scripts source this file after fleet.sh.
+# Functions that build an example deployment on loopback: keys, settings and
+# processes. Scripts source this file after fleet.sh.
+#
+# Addresses: controllers 127.0.0.1:610N, balancers 127.0.1.N, agents and backend
+# servers 127.0.2.N, and those of trial 127.0.1.9 and 127.0.3.N.
 
 examples=${examples:?the directory of the example settings}
-services=(crew-link:7 sheet-desk:3)
-owners=(city works)
+source "$examples/deployment.sh"
+first=${services[0]%:*} # the service of agent.yaml
 
 # jayspindle ARGUMENTS...: runs an operator's command in the directory of the deployment.
 jayspindle() { (cd "$work" && "$binary" "$@"); }
@@ -16,34 +19,33 @@
 
 # create_keys: creates the authority and the keys of owners, services and operator.
 create_keys() {
-	local owner spec
+	local owner spec name
 	mkdir -p "$work/keys"
 	jayspindle keygen -kind authority -name demo -out keys/authority
 	for owner in "${owners[@]}"; do
 		jayspindle keygen -kind owner -out "keys/$owner" >"$work/keys/$owner.text"
 	done
+	cp "$examples/document.yaml" "$examples/operator.yaml" "$work/"
 	for spec in "${services[@]}"; do
-		jayspindle keygen -kind service -out "keys/${spec%:*}-service" >"$work/keys/${spec%:*}.text"
-		jayspindle keygen -kind certificate -authority keys/authority -service "${spec%:*}" -out "keys/${spec%:*}"
+		name=${spec%:*}
+		jayspindle keygen -kind service -out "keys/$name-service" >"$work/keys/$name.text"
+		jayspindle keygen -kind certificate -authority keys/authority -service "$name" -out "keys/$name"
+		sed -i "s#ed25519:${name^^}-KEY#$(cat "$work/keys/$name.text")#" "$work/document.yaml"
 	done
 	instance operator operator all
-	cp "$examples/operator.yaml" "$work/"
-	sed -e "s#ed25519:CREW-LINK-KEY#$(cat "$work/keys/crew-link.text")#" \
-		-e "s#ed25519:SHEET-DESK-KEY#$(cat "$work/keys/sheet-desk.text")#" \
-		"$examples/document.yaml" >"$work/document.yaml"
 }
 
 # start_controller NUMBER: starts a controller; the first founds the group.
 start_controller() {
-	local name=controller-$1
+	local name=controller-$1 owner
 	[[ -e $work/keys/$name.pem ]] || instance controller "$name" all
-	sed -e "s/controller-1/$name/g" -e "s/zone: kokura/zone: ${zones[$1 - 1]}/" \
+	sed -e "s/controller-1/$name/g" -e "s/zone: ${zones[0]}/zone: ${zones[$1 - 1]}/" \
 		-e "s/^listen: 127.0.0.1:6101/listen: 127.0.0.1:610$1/" -e "s/127.0.0.1:6111/127.0.0.1:611$1/" \
-		-e "s#ed25519:CITY-KEY#$(cat "$work/keys/city.text")#" -e "s#ed25519:WORKS-KEY#$(cat "$work/keys/works.text")#" \
 		"$examples/controller.yaml" >"$work/$name.yaml"
-	if (($1 > 1)) || [[ -e $work/founded ]]; then
-		sed -i 's/^bootstrap: true/bootstrap: false/' "$work/$name.yaml"
-	fi
+	for owner in "${owners[@]}"; do
+		sed -i "s#ed25519:${owner^^}-KEY#$(cat "$work/keys/$owner.text")#" "$work/$name.yaml"
+	done
+	(($1 == 1)) || sed -i 's/^bootstrap: true/bootstrap: false/' "$work/$name.yaml"
 	start "$name" controller -settings "$name.yaml"
 }
 
@@ -59,31 +61,47 @@
 start_server() {
 	[[ -e $work/keys/$2.pem ]] || instance agent "$2" "$5" "$1"
 	derive "$examples/backend-$1.yaml" "$1-1" "$2" 127.0.2.1 "$3" "$4" >"$work/backend-$2.yaml"
-	sed -e "s/\bcrew-link\b/$1/g" "$examples/agent.yaml" >"$work/agent-$1.template"
+	sed -e "s/\b$first\b/$1/g" "$examples/agent.yaml" >"$work/agent-$1.template"
 	derive "$work/agent-$1.template" "$1-1" "$2" 127.0.2.1 "$3" "$4" |
 		sed "s/environment: production/environment: $5/" >"$work/$2.yaml"
 	start "backend-$2" backend -settings "backend-$2.yaml"
 	start "$2" agent -settings "$2.yaml"
 }
 
-# start_production: starts three balancers and all backend servers with agents.
+# start_production: starts a balancer for each availability zone and all backend
+# servers with agents. They retry until their service is in force.
 start_production() {
 	local i spec host=0
-	for i in 1 2 3; do
+	for ((i = 1; i <= ${#zones[@]}; i++)); do
 		start_balancer "balancer-$i" "127.0.1.$i" "${zones[i - 1]}" production
 	done
 	for spec in "${services[@]}"; do
 		for ((i = 1; i <= ${spec#*:}; i++)); do
-			start_server "${spec%:*}" "${spec%:*}-$i" "127.0.2.$((++host))" "${zones[(host - 1) % 3]}" production
+			start_server "${spec%:*}" "${spec%:*}-$i" "127.0.2.$((++host))" "${zones[(host - 1) % ${#zones[@]}]}" production
 		done
 	done
+	production_ready=()
+	for ((i = 1; i <= ${#zones[@]}; i++)); do production_ready+=("127.0.1.$i:6401"); done
+	for ((i = 1; i <= host; i++)); do production_ready+=("127.0.2.$i:6503"); done
 }
 
 # start_trial: starts one balancer and one backend server for each service.
 start_trial() {
-	start_balancer balancer-trial 127.0.1.9 kokura trial
-	start_server crew-link crew-link-trial 127.0.3.1 kokura trial
-	start_server sheet-desk sheet-desk-trial 127.0.3.2 yahata trial
+	local spec host=0
+	start_balancer balancer-trial 127.0.1.9 "${zones[0]}" trial
+	trial_ready=(127.0.1.9:6401)
+	for spec in "${services[@]}"; do
+		start_server "${spec%:*}" "${spec%:*}-trial" "127.0.3.$((++host))" "${zones[host]}" trial
+		trial_ready+=("127.0.3.$host:6503")
+	done
+}
+
+# trial_load: prints settings for a short load on the instances of trial.
+trial_load() {
+	sed -e 's/^duration: .*/duration: 3s/' -e 's/callers: .*/callers: 2/' \
+		-e 's/^  - {host: 127.0.1.1,.*/  - {host: 127.0.1.9}/' -e '/^  - {host: 127.0.1.[2-9],/d' \
+		-e '/^ledgers:/,$d' "$examples/load.yaml"
+	printf 'ledgers: [%s-trial.ledger]\n' "$first"
 }
 
 # await_ready HOST:PORT...: waits for health checks, at most 20 s each.
@@ -94,11 +112,6 @@
 	done
 }
 
-# await_production: waits until all production instances are ready.
-await_production() {
-	await_ready 127.0.1.{1..3}:6401 127.0.2.{1..10}:6503
-}
-
 # sign_both ENVIRONMENT: both co-owners sign the pending change.
 sign_both() {
 	local owner
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -6,7 +6,7 @@
 
 work=${work:?the directory of the deployment}
 binary=${binary:?the program}
-zones=(kokura yahata moji)
+
 
 # start NAME ARGUMENTS...: starts a subcommand in the background.
 start() {
@@ -53,7 +53,7 @@
 # of another instance of the same kind.
 derive() {
 	sed -e "s/\b$2\b/$3/g" -e "s/\b${4//./\\.}:/$5:/g" -e "s/listen_host: .*/listen_host: $5/" \
-		-e "s/zone: kokura/zone: $6/" "$1"
+		-e "s/zone: ${zones[0]}/zone: $6/" "$1"
 }
 
 # await SECONDS COMMAND...: repeats a command until it succeeds.
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -13,4 +13,6 @@
 	fi
 fi
 
-go test -race -timeout 8m "${skip[@]}" ./...
+# Four packages at a time: tests over real sockets need processor time within
+# the handshake timeout of a second.
+go test -race -p 4 -timeout 8m "${skip[@]}" ./...
