--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -16,6 +16,7 @@
 	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,7 @@
 	conn       atomic.Pointer[packetConn]
 	ids        atomic.Pointer[connid.Generator]
 	service    atomic.Uint32
+	applying   sync.Mutex // held while fabric keys are put into force
 }
 
 // New returns an agent. It announces itself once Run is called.
@@ -204,9 +206,16 @@
 	}
 }
 
+// applyKeys may be called with a view that is older than the one in force. The
+// connection refuses it then, and connection IDs keep the newer keys too.
 func (a *Agent) applyKeys(conn *packetConn, current *view.View) {
+	a.applying.Lock()
+	defer a.applying.Unlock()
+
 	if err := conn.update(current); err != nil {
-		a.logger.Error("fabric keys not applied", "error", err)
+		a.logger.Warn("fabric keys not applied", "error", err)
+
+		return
 	}
 
 	keys, err := connid.New(current.Keys())
@@ -223,27 +232,35 @@
 func (a *Agent) Run(ctx context.Context) error {
 	// The parts outlive the context: they are needed to drain.
 	living, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, fail := context.WithCancelCause(ctx)
 
 	var group conc.WaitGroup
 
 	defer group.Wait()
 	defer stop()
 
-	group.Go(func() { a.gate.run(living) })
-	group.Go(func() { a.backend.watchHealth(living, a.healthChanged) })
-	group.Go(func() { a.member.Run(living) })
-	group.Go(func() { a.claims.run(living) })
+	for _, part := range []func(context.Context){
+		a.gate.run, a.member.Run, a.claims.run,
+		func(ctx context.Context) { a.backend.watchHealth(ctx, a.healthChanged) },
+	} {
+		group.Go(func() {
+			defer failOnPanic(fail)
 
-	peersDone := make(chan struct{})
+			part(living)
+		})
+	}
 
 	group.Go(func() {
-		defer close(peersDone)
+		defer failOnPanic(fail)
 
 		if err := a.peers.Serve(living, peerGrace); err != nil {
 			a.logger.Error("peer links ended", "error", err)
 		}
 	})
 
+	defer a.member.Close()
+	defer a.siblings.close()
+
 	if err := a.member.Wait(ctx); err != nil {
 		return errors.Trace(err)
 	}
@@ -251,6 +268,19 @@
 	return a.serve(ctx)
 }
 
+// errPanicked ends an agent of which a part has panicked.
+var errPanicked = errors.New("a part of the agent has panicked")
+
+// failOnPanic ends the agent when a part panics, for example on a violated
+// invariant. The wait group raises the panic again when Run ends; until then
+// requests would wait for a part that is gone.
+func failOnPanic(fail context.CancelCauseFunc) {
+	if cause := recover(); cause != nil {
+		fail(errPanicked)
+		panic(cause)
+	}
+}
+
 // serve accepts flows until the context ends, then drains.
 func (a *Agent) serve(ctx context.Context) error {
 	listener, transport, err := a.listen(a.member.View())
@@ -266,10 +296,17 @@
 		"data", a.config.Data.String())
 
 	<-ctx.Done()
+
+	if errors.Is(context.Cause(ctx), errPanicked) {
+		// Nothing can be finished without that part. The flows are cut.
+		_ = transport.Close()
+		group.Wait()
+
+		return errPanicked
+	}
+
 	a.drain(context.WithoutCancel(ctx), listener)
 	group.Wait()
-	a.siblings.close()
-	a.member.Close()
 
 	return errors.Trace(transport.Close())
 }
@@ -356,6 +393,10 @@
 			if err := a.server.ServeQUICConn(connection); err != nil {
 				a.logger.Debug("flow ended", "caller", connection.RemoteAddr().String(), "cause", err)
 			}
+
+			// A flow that is accepted after the shutdown has begun is not served:
+			// its caller must not wait for the idle timeout.
+			_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 		})
 	}
 
--- a/internal/program/agent/packetconn.go
+++ b/internal/program/agent/packetconn.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +18,8 @@
 const (
 	maxDatagram  = 2048
 	socketBuffer = 4 << 20 // bytes
+	// maxCallers bounds the addresses that are kept, at about 150 bytes each.
+	maxCallers = 8192
 )
 
 // packetConn is the packet connection of quic-go's transport. Datagrams come
@@ -24,8 +27,12 @@
 // through balancers.
 type packetConn struct {
 	*net.UDPConn
-	engine *forward.Agent
-	logger *slog.Logger
+	engine  *forward.Agent
+	logger  *slog.Logger
+	frames  sync.Pool // *[maxDatagram]byte
+	reading sync.Mutex
+	buffer  [maxDatagram]byte               // under reading
+	callers map[netip.AddrPort]*net.UDPAddr // under reading, so that most datagrams need no new address
 }
 
 func newPacketConn(address netip.AddrPort, engine *forward.Agent, logger *slog.Logger) (*packetConn, error) {
@@ -38,7 +45,11 @@
 	_ = socket.SetReadBuffer(socketBuffer)
 	_ = socket.SetWriteBuffer(socketBuffer)
 
-	return &packetConn{UDPConn: socket, engine: engine, logger: logger}, nil
+	return &packetConn{
+		UDPConn: socket, engine: engine, logger: logger,
+		frames:  sync.Pool{New: func() any { return new([maxDatagram]byte) }},
+		callers: make(map[netip.AddrPort]*net.UDPAddr),
+	}, nil
 }
 
 // update applies keys and balancers of a view.
@@ -47,12 +58,15 @@
 // ReadFrom returns the payload of the next datagram for this incarnation and
 // the address of its caller.
 func (c *packetConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
-	var received [maxDatagram]byte
+	c.reading.Lock()
+	defer c.reading.Unlock()
+
+	received := c.buffer[:]
 
 	for {
-		n, from, err := c.ReadFromUDPAddrPort(received[:])
+		n, from, err := c.ReadFromUDPAddrPort(received)
 		if err != nil {
-			return 0, nil, errors.Trace(err)
+			return 0, nil, err // quic-go asks the error itself whether it is temporary
 		}
 
 		source := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
@@ -61,7 +75,7 @@
 		case forward.Deliver:
 			payload := received[datagram.HeaderLength:n]
 
-			return copy(buffer, payload), net.UDPAddrFromAddrPort(decision.Header.Caller), nil
+			return copy(buffer, payload), c.caller(decision.Header.Caller), nil
 		case forward.Answer:
 			c.answer(&decision.Header, decision.To)
 		default:
@@ -69,6 +83,21 @@
 	}
 }
 
+// caller returns the address in the form that quic-go takes.
+func (c *packetConn) caller(address netip.AddrPort) *net.UDPAddr {
+	known, ok := c.callers[address]
+	if !ok {
+		if len(c.callers) >= maxCallers {
+			clear(c.callers)
+		}
+
+		known = net.UDPAddrFromAddrPort(address)
+		c.callers[address] = known
+	}
+
+	return known
+}
+
 // answer sends a header without payload, for example a stale notice.
 func (c *packetConn) answer(header *datagram.Header, to netip.AddrPort) {
 	var notice [datagram.HeaderLength]byte
@@ -96,7 +125,8 @@
 		return len(payload), nil
 	}
 
-	var framed [maxDatagram]byte
+	framed := c.frames.Get().(*[maxDatagram]byte)
+	defer c.frames.Put(framed)
 
 	c.engine.Seal(framed[:], &header)
 	n := copy(framed[datagram.HeaderLength:], payload)
--- a/internal/program/agent/placer_test.go
+++ b/internal/program/agent/placer_test.go
@@ -109,3 +109,38 @@
 		})
 	})
 }
+
+// Guards against an agent that, once suspended, takes no new work after it has
+// resumed, or that cuts its requests in progress meanwhile.
+func TestSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newScripted(3)
+		own, other := &script{}, &script{}
+		p.local, p.sibling = own, func(view.Agent) runner { return other }
+
+		for range 100 {
+			own.results = append(own.results, answered(""))
+			other.results = append(other.results, answered(""))
+		}
+
+		running := p.place(t.Context(), newTestCall(alert, "POST")) // in progress throughout
+
+		update := func(state view.State) int {
+			agents := agentsOf(3)
+			agents[0].State = state
+			p.update(agents)
+
+			before := own.calls
+			for range 30 {
+				assertState(t, p.place(t.Context(), newTestCall(alert, "POST")), peer.Answered)
+			}
+
+			return own.calls - before
+		}
+
+		is.Equal(update(view.Suspended), 0)
+		is.True(update(view.Active) >= 9) // its share is 10
+		is.NoErr(running.body.Close())
+	})
+}
--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -40,6 +40,7 @@
 	random    *rand.Rand
 	flows     conc.WaitGroup
 	stopping  context.Context
+	closing   chan struct{} // closed when no request is left
 }
 
 func newCaller(client *Client, workload Workload, random *rand.Rand) *caller {
@@ -48,6 +49,7 @@
 		workload: workload,
 		service:  &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(workload.Port)},
 		random:   random,
+		closing:  make(chan struct{}),
 	}
 
 	c.transport = &http3.Transport{
@@ -99,9 +101,17 @@
 	return connection, nil
 }
 
-// watch counts a flow as broken unless it was closed on purpose.
+// watch counts a flow as broken unless it was closed on purpose. At the end it
+// closes the flow: the HTTP/3 transport forgets a flow that the agent shuts
+// down, and such a flow can stay open.
 func (c *caller) watch(connection *quic.Conn, transport *quic.Transport, spray *sprayConn) {
-	<-connection.Context().Done()
+	select {
+	case <-connection.Context().Done():
+	case <-c.closing:
+		_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+
+		<-connection.Context().Done()
+	}
 
 	var closed *quic.ApplicationError
 
@@ -146,6 +156,7 @@
 
 	err := c.transport.Close()
 
+	close(c.closing)
 	c.flows.Wait()
 
 	return errors.Trace(err)
