Test losses of controllers with real processes

The failures of the control plane were tested with fakes only, so nothing showed that the programs survive them together. The new package fleet builds keys, settings and processes of a small deployment on loopback addresses of its own. Three cases use it: the leader and then a follower are killed, a controller loses its data directory before a second one is killed, and a leader is paused past an election. Each brings a change into force at all 7 instances in between; no instance applied a lower position.

--- /dev/null
+++ b/internal/testing/fleet/deploy.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/template"
+	"time"
+
+	"jayspindle/internal/transport/identity"
+)
+
+// The services of the deployment. Only the first has agents from the start.
+const (
+	CrewLink  = "crew-link"
+	SheetDesk = "sheet-desk"
+)
+
+// The last part of an address is the number of an instance plus one of these.
+const (
+	controllerHost = 0
+	balancerHost   = 10
+	agentHost      = 20
+	otherHost      = 40 // agents of sheet-desk
+	serviceHost    = 250
+	controllers    = 3
+	balancers      = 3
+)
+
+// instance is what the settings of one instance are made from.
+type instance struct {
+	Name, Host, Zone, Debug, Service    string
+	Controllers, Upstreams, City, Works string
+	Bootstrap                           bool
+	Balancers, Services                 []string
+	Callers, Attempts                   int
+	Ledgers                             string
+}
+
+// createKeys creates the authority and the keys of owners, services and operator.
+func (f *Fleet) createKeys() {
+	var err error
+
+	f.authority, err = identity.CreateAuthority(f.path("authority.pem"), f.path("authority.key"), "fleet", time.Now())
+	f.check(err)
+
+	for _, owner := range []string{"city", "works", CrewLink + "-service", SheetDesk + "-service"} {
+		key, err := identity.CreateKey(f.path(owner + ".key"))
+		f.check(err)
+		f.public[owner] = key.PublicKey()
+	}
+
+	for _, service := range []string{CrewLink, SheetDesk} {
+		f.check(f.authority.IssueService(service, f.path(service+".pem"), f.path(service+".key"), time.Now()))
+	}
+
+	f.issue(identity.RoleOperator, "operator", identity.AllEnvironments, "")
+	f.write("operator.yaml", operatorSettings, f.instance("operator"))
+}
+
+// issue creates the certificate of an instance once.
+func (f *Fleet) issue(role identity.Role, name, environment, service string) {
+	if _, err := os.Stat(f.path(name + ".pem")); err == nil {
+		return
+	}
+
+	holder := identity.Identity{Role: role, Environment: environment, Name: name, Service: service}
+	f.check(f.authority.Issue(holder, f.path(name+".pem"), f.path(name+".key"), time.Now()))
+}
+
+func (f *Fleet) write(file, text string, data any) {
+	f.t.Helper()
+
+	var content bytes.Buffer
+
+	f.check(template.Must(template.Must(template.New("").Parse(commonSettings)).Parse(text)).Execute(&content, data))
+	f.check(os.WriteFile(f.path(file), content.Bytes(), fileMode))
+}
+
+// instance returns the settings of an instance named KIND-NUMBER.
+func (f *Fleet) instance(name string) instance {
+	var listen []string
+	for number := 1; number <= controllers; number++ {
+		listen = append(listen, f.ControllerAddress(number))
+	}
+
+	made := instance{
+		Name: name, Host: f.host(name), Debug: f.debugAddress(name), Zone: zones[(numberOf(name)+2)%len(zones)],
+		Controllers: strings.Join(listen, ", "), Upstreams: strings.Join(listen, ", "),
+		City: identity.FormatPublicKey(f.public["city"]), Works: identity.FormatPublicKey(f.public["works"]),
+	}
+	if via := f.via[name]; via != nil {
+		made.Upstreams = strings.Join(via, ", ")
+	}
+
+	return made
+}
+
+func numberOf(name string) int {
+	number, err := strconv.Atoi(name[strings.LastIndex(name, "-")+1:])
+	if err != nil {
+		return 0
+	}
+
+	return number
+}
+
+// host returns the address of an instance.
+func (f *Fleet) host(name string) string {
+	base := serviceHost
+
+	switch {
+	case strings.HasPrefix(name, "controller"):
+		base = controllerHost
+	case strings.HasPrefix(name, "balancer"):
+		base = balancerHost
+	case strings.HasPrefix(name, CrewLink):
+		base = agentHost
+	case strings.HasPrefix(name, SheetDesk):
+		base = otherHost
+	}
+
+	return fmt.Sprintf("%s.%d", f.network, base+numberOf(name))
+}
+
+// debugAddress returns where an instance answers its health check.
+func (f *Fleet) debugAddress(name string) string { return f.host(name) + ":6401" }
+
+// ControllerAddress returns where a controller listens.
+func (f *Fleet) ControllerAddress(number int) string { return f.host(Controller(number)) + ":6101" }
+
+// Controller returns the name of a controller.
+func Controller(number int) string { return fmt.Sprintf("controller-%d", number) }
+
+// Balancer returns the name of a balancer.
+func Balancer(number int) string { return fmt.Sprintf("balancer-%d", number) }
+
+// Agent returns the name of an agent of crew-link.
+func Agent(number int) string { return fmt.Sprintf("%s-%d", CrewLink, number) }
+
+// Via makes an instance use these upstreams from its next start on.
+func (f *Fleet) Via(name string, upstreams []string) { f.via[name] = upstreams }
+
+// Deploy starts the controllers, brings the first document into force, and
+// starts the balancers and a number of agents with backend servers.
+func (f *Fleet) Deploy(agents int) {
+	f.t.Helper()
+
+	for number := 1; number <= controllers; number++ {
+		f.StartController(number)
+	}
+
+	f.Change()
+
+	var names []string
+
+	for number := 1; number <= balancers; number++ {
+		f.StartBalancer(number)
+		names = append(names, Balancer(number))
+	}
+
+	for number := 1; number <= agents; number++ {
+		f.StartBackend(Agent(number))
+		f.StartAgent(CrewLink, Agent(number))
+		names = append(names, Agent(number))
+	}
+
+	f.AwaitReady(names...)
+	f.AwaitInForce(balancers + agents)
+}
+
+// StartController starts a controller. The first one founds the group.
+func (f *Fleet) StartController(number int) {
+	name := Controller(number)
+	f.issue(identity.RoleController, name, identity.AllEnvironments, "")
+
+	settings := f.instance(name)
+	settings.Bootstrap = !f.founded && number == 1
+	f.founded = f.founded || settings.Bootstrap
+
+	f.write(name+".yaml", controllerSettings, settings)
+	f.start(name, "controller", "-settings", name+".yaml")
+}
+
+// RemoveData removes the data directory of a controller.
+func (f *Fleet) RemoveData(number int) { f.check(os.RemoveAll(f.path(Controller(number) + ".data"))) }
+
+// StartBalancer starts a balancer.
+func (f *Fleet) StartBalancer(number int) {
+	name := Balancer(number)
+	f.issue(identity.RoleBalancer, name, "production", "")
+	f.write(name+".yaml", balancerSettings, f.instance(name))
+	f.start(name, "balancer", "-settings", name+".yaml")
+}
+
+// StartBackend starts the backend server beside an agent.
+func (f *Fleet) StartBackend(agent string) {
+	f.write("backend-"+agent+".yaml", backendSettings, f.instance(agent))
+	f.start("backend-"+agent, "backend", "-settings", "backend-"+agent+".yaml")
+}
+
+// StartAgent starts an agent at its own address.
+func (f *Fleet) StartAgent(service, name string) { f.StartAgentAt(service, name, name) }
+
+// StartAgentAt starts an agent at the address of another instance.
+func (f *Fleet) StartAgentAt(service, name, at string) {
+	f.issue(identity.RoleAgent, name, "production", service)
+
+	settings := f.instance(name)
+	settings.Service = service
+	settings.Host, settings.Debug = f.host(at), f.debugAddress(at)
+
+	f.write(name+".yaml", agentSettings, settings)
+	f.start(name, "agent", "-settings", name+".yaml")
+}
--- /dev/null
+++ b/internal/testing/fleet/process.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// logTail is how much of each log a failed test shows, in bytes.
+const logTail = 4000
+
+// process is one run of a subcommand.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     string
+	done    chan struct{} // closed once the process has ended
+	output  bytes.Buffer  // standard output, complete once the process has ended
+}
+
+// starter starts processes on one thread that lives as long as the test
+// process: the kernel ends them when the thread that started them ends.
+var starter = sync.OnceValue(func() chan func() {
+	work := make(chan func())
+
+	go func() {
+		runtime.LockOSThread()
+
+		for start := range work {
+			start()
+		}
+	}()
+
+	return work
+})
+
+// start runs a subcommand in the directory of the fleet.
+func (f *Fleet) start(name string, arguments ...string) *process {
+	f.t.Helper()
+
+	p := &process{
+		name: name,
+		log:  f.path(fmt.Sprintf("%s.%d.log", name, len(f.all))),
+		done: make(chan struct{}),
+	}
+
+	log, err := os.Create(p.log)
+	f.check(err)
+
+	p.command = exec.Command(f.binary, arguments...)
+	p.command.Dir = f.directory
+	p.command.Stdout = &p.output
+	p.command.Stderr = log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
+	started := make(chan error)
+	starter() <- func() { started <- p.command.Start() }
+
+	f.check(<-started)
+	f.check(log.Close())
+
+	go func() {
+		defer close(p.done)
+
+		_ = p.command.Wait() // the exit status is in ProcessState
+	}()
+
+	f.all = append(f.all, p)
+	f.processes[name] = p
+
+	return p
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	select {
+	case <-p.done: // the process ID may belong to another process by now
+	default:
+		_ = p.command.Process.Signal(signal) // fails only if the process has ended
+	}
+}
+
+// end kills the process, stopped or not.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Signal sends a signal to an instance.
+func (f *Fleet) Signal(name string, signal syscall.Signal) { f.processes[name].signal(signal) }
+
+// Kill kills an instance and waits for its end.
+func (f *Fleet) Kill(name string) { f.processes[name].end() }
+
+// Terminate asks an instance to stop and waits for its end.
+func (f *Fleet) Terminate(name string) {
+	f.t.Helper()
+
+	p := f.processes[name]
+	p.signal(syscall.SIGTERM)
+
+	select {
+	case <-p.done:
+	case <-time.After(Patience):
+		f.t.Fatalf("%s did not stop within %s", name, Patience)
+	}
+}
+
+// showLogs logs the end of each log.
+func (f *Fleet) showLogs() {
+	for _, p := range f.all {
+		log, err := os.ReadFile(p.log)
+		if err == nil && len(log) > 0 {
+			f.t.Logf("%s:\n%s", p.log, log[max(0, len(log)-logTail):])
+		}
+	}
+}
