Measure the cost of each role with jayspindle capacity

The package capacity measures views, tables, documents, the log, leases, links, datagrams and callers' connections at four sizes each, three times, up to the full size, fits lines and works out rows for each role. make capacity prints them.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 soak:
 	SOAK_SEED=$(SEED) SOAK_DURATION=$(DURATION) go test -count=1 -timeout 0 -run '$(RUN)' ./internal/...
+
+capacity: build
+	bin/jayspindle capacity
--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -50,6 +50,7 @@
 	commander.Register(&balancerCommand{}, groupPrograms)
 	commander.Register(&keygenCommand{}, groupOperators)
 	commander.Register(&backendCommand{}, groupTests)
+	commander.Register(&capacityCommand{}, groupTests)
 	commander.Register(&loadCommand{}, groupTests)
 
 	if err := flags.Parse(arguments[1:]); err != nil {
