--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 bench: build
 	bin/jayspindle bench -seeds $(SEEDS) -out $(OUT)
+
+capacity: build
+	bin/jayspindle capacity
--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -63,6 +63,7 @@
 	commander.Register(&rotateKeyCommand{}, groupOperators)
 	commander.Register(&traceCommand{}, groupOperators)
 	commander.Register(&backendCommand{}, groupTests)
+	commander.Register(&capacityCommand{}, groupTests)
 	commander.Register(&loadCommand{}, groupTests)
 	commander.Register(&benchCommand{}, groupTests)
 
