Let links reach another address when the first one is dead

Cause: TestLossOfLeaderThenFollower and two other tests with real processes failed with 'the newest position is in force at 7 instances' not reached in 40 s. After a controller was killed, every call of 2 s spent all its time on the dial of the dead address, and the next call began there again, so no lease was renewed.

Change: an address whose dial fails goes to the end of the list, also if the call's time ran out; one dial takes at most 1 s.

Result: TestDeadAddress is new and fails without the change (20 calls of 0.5 s, none reaches the live server); with it the tests of the package pass.

--- a/internal/transport/link/client.go
+++ b/internal/transport/link/client.go
@@ -140,6 +140,12 @@
 			if session, err = c.dial(ctx, address); err == nil {
 				return session, nil
 			}
+
+			c.demote(address)
+
+			if ctx.Err() != nil {
+				break // the other addresses were not tried, so they keep their order
+			}
 		}
 
 		if c.wait(ctx) != nil {
@@ -171,7 +177,10 @@
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*session, error) {
 	metrics.Add(metricDials, 1)
 
-	next, err := dialSession(ctx, address, c.options.Identity.ClientTLS(c.options.Accept))
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+
+	next, err := dialSession(limited, address, c.options.Identity.ClientTLS(c.options.Accept))
 	if err != nil {
 		return nil, err
 	}
@@ -253,6 +262,17 @@
 	return &Error{operation: cause.operation, kind: KindGone, err: cause.err}
 }
 
+// demote makes later dials try the other addresses first, also those of calls
+// whose time has run out during this one.
+func (c *Client) demote(address netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if i := slices.Index(c.addresses, address); i >= 0 {
+		c.addresses = append(slices.Delete(c.addresses, i, i+1), address)
+	}
+}
+
 // prefer makes the next call go to an address, which need not be in the list.
 func (c *Client) prefer(address netip.AddrPort, from *session) {
 	c.leave(from, func() {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -60,6 +60,10 @@
 	// whole handshake takes at most twice that.
 	handshakeTimeout = time.Second
 
+	// dialTimeout bounds the dial of one address, so that a call of 2 s reaches
+	// a second one.
+	dialTimeout = time.Second
+
 	// maxStreams bounds the calls and streams in progress on one connection.
 	maxStreams = 1024
 
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"path/filepath"
 	"testing"
@@ -322,3 +323,31 @@
 	is.Equal(reply.Text, "finished")
 	<-stopped
 }
+
+// Guards against a dead first address that uses up the time of every call, so
+// that an instance cannot renew its lease although other controllers live.
+func TestDeadAddress(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	server, _ := n.serve("c1", func(s *link.Server) { s.Handle("echo", echo) })
+
+	dead, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+	is.NoErr(err)
+
+	defer dead.Close()
+
+	client := n.dial("operator", dead.LocalAddr().(*net.UDPAddr).AddrPort(), server.Address())
+
+	reached := false
+	for range 20 {
+		// Less than the dial of the dead address takes.
+		ctx, cancel := context.WithTimeout(n.ctx, dialLimit/2)
+		reached = reached || client.Call(ctx, "echo", message{}, nil) == nil
+
+		cancel()
+	}
+
+	is.True(reached) // a later call tries the other address first
+}
+
+const dialLimit = time.Second
