Trace a request over balancer, agent, sibling and backend server

A request's trace began at the agent: nothing showed which balancer passed the first packet of its session on, and a sibling's or a backend server's part was missing. The trace ID of a session is now the hash of the first packet's destination connection ID, which balancer and agent both know, so no field is added to datagrams. The request's span links to the session's; without a trace of the caller it is a part of it. Siblings and the stand-in backend server have spans of their own, and the trace command shows linked traces. Balancers ask the sampler only for first packets.

--- a/internal/cli/cmd/backend.go
+++ b/internal/cli/cmd/backend.go
@@ -49,7 +49,7 @@
 		return fail(err)
 	}
 
-	if err := backend.New(*config, ledger, observed.Logger()).Run(ctx); err != nil {
+	if err := backend.New(*config, ledger, observed.Logger(), observed.Tracer()).Run(ctx); err != nil {
 		return fail(err)
 	}
 
--- a/internal/cli/cmd/trace.go
+++ b/internal/cli/cmd/trace.go
@@ -49,7 +49,10 @@
 	StartTime   time.Time
 	EndTime     time.Time
 	Attributes  []attributeValue
-	Resource    []attributeValue
+	Links       []struct {
+		SpanContext struct{ TraceID, SpanID string }
+	}
+	Resource []attributeValue
 }
 
 type attributeValue struct {
@@ -90,6 +93,7 @@
 
 		shown++
 
+		spans = append(spans, linked(spans, traces)...)
 		slices.SortFunc(spans, func(a, b span) int { return a.StartTime.Compare(b.StartTime) })
 
 		if c.json {
@@ -130,6 +134,25 @@
 	return errors.Annotate(lines.Err(), name)
 }
 
+// linked returns the spans of the traces that spans link to: those of the
+// session on which a request arrived. Their hops come before the request's.
+func linked(spans []span, traces map[string][]span) []span {
+	var found []span
+
+	seen := make(map[string]bool)
+
+	for _, item := range spans {
+		for _, link := range item.Links {
+			if id := link.SpanContext.TraceID; !seen[id] {
+				seen[id] = true
+				found = append(found, traces[id]...)
+			}
+		}
+	}
+
+	return found
+}
+
 func matches(spans []span, text string) bool {
 	if text == "" {
 		return true
--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -148,6 +148,7 @@
 
 	requests := &peerServer{
 		service: a.config.Service, local: a.local, classes: a.class, drained: a.feeds.drained,
+		tracer: a.observed.Tracer(),
 	}
 	server.HandleStream(peer.MethodRun, requests.run)
 	a.claims.register(server)
@@ -349,6 +350,7 @@
 	transport := &quic.Transport{
 		Conn:                  quicConn{PacketConn: conn, buffers: conn},
 		ConnectionIDGenerator: a.ids.Load(),
+		ConnContext:           withSession,
 		StatelessResetKey:     &reset,
 		TokenGeneratorKey:     &token,
 	}
@@ -362,6 +364,7 @@
 		KeepAlivePeriod:         keepAlive,
 		MaxIdleTimeout:          idleTimeout,
 		DisablePathMTUDiscovery: true,
+		Tracer:                  noteFirst,
 	})
 	if err != nil {
 		return nil, nil, newError("listen", KindSetup, err)
@@ -390,6 +393,8 @@
 		}
 
 		flows.Go(func() {
+			traceSession(connection.Context(), a.observed.Tracer(), connection.RemoteAddr().String())
+
 			if err := a.server.ServeQUICConn(connection); err != nil {
 				a.logger.Debug("flow ended", "caller", connection.RemoteAddr().String(), "cause", err)
 			}
--- a/internal/program/agent/fleet_test.go
+++ b/internal/program/agent/fleet_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -14,7 +16,6 @@
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"jayspindle/internal/coordination/rollout"
 	"jayspindle/internal/program/agent"
@@ -272,6 +273,7 @@
 	ledger, err := backend.NewLedger(d.path(name + ".ledger"))
 	is.New(d.t).NoErr(err)
 
+	observed := d.telemetry(name, number, netip.AddrPort{})
 	server := backend.New(backend.Settings{
 		Instance: d.instance("backend-"+fmt.Sprint(number), number), Listen: listen, Slots: 3,
 		Routes: []backend.Route{
@@ -279,10 +281,9 @@
 			{Method: "POST", Path: "/alerts", Duration: 10 * time.Millisecond, Size: 20000},
 			{Method: "GET", Path: "/alerts", Duration: 50 * time.Millisecond, Feed: true},
 		},
-	}, ledger, slog.New(slog.DiscardHandler))
+	}, ledger, slog.New(slog.DiscardHandler), observed.Tracer())
 	stopServer := d.start(context.WithoutCancel(ctx), "backend", server.Run)
 
-	observed := d.telemetry(name, number, netip.AddrPort{})
 	program, err := agent.New(agent.Settings{
 		Instance: d.instance(name, number), Identity: d.issue(identity.RoleAgent, name),
 		Upstreams: []netip.AddrPort{d.upstream}, Service: service, ServiceKey: d.path("service.key"),
@@ -293,8 +294,8 @@
 	is.New(d.t).NoErr(err)
 
 	stop := d.start(ctx, name, func(ctx context.Context) error {
-		defer stopServer()
 		defer observed.Close(context.Background())
+		defer stopServer()
 
 		return program.Run(ctx)
 	})
@@ -334,6 +335,9 @@
 
 	time.Sleep(2500 * time.Millisecond) // until the agents have views and know the past
 
+	callers := d.telemetry("callers", 0, netip.AddrPort{})
+	defer callers.Close(ctx)
+
 	client, err := load.New(load.Settings{
 		Seed: 1, Duration: 5 * time.Second, Authority: d.path("ca.pem"), Balancers: fabric, Ledgers: ledgers,
 		Workloads: []load.Workload{{
@@ -349,7 +353,7 @@
 				},
 			},
 		}},
-	}, slog.Default(), noop.NewTracerProvider().Tracer(""))
+	}, slog.Default(), callers.Tracer())
 	is.NoErr(err)
 
 	d.group.Go(func() {
@@ -373,4 +377,63 @@
 	for _, class := range result.Classes {
 		is.True(class.Answered > 50)
 	}
+
+	stop()
+	d.group.Wait()
+	assertTraces(t, d.directory)
+}
+
+// assertTraces checks that requests have a span for each hop, and that their
+// sessions have one at a balancer and one at an agent.
+func assertTraces(t *testing.T, directory string) {
+	t.Helper()
+
+	type spanContext struct{ TraceID, SpanID string }
+
+	is := is.New(t)
+	hops := make(map[string]map[string]int) // by trace and name
+	sessions := make(map[string]string)     // of a request's trace
+
+	names, err := filepath.Glob(filepath.Join(directory, "*.trace"))
+	is.NoErr(err)
+
+	for _, name := range names {
+		file, err := os.Open(name)
+		is.NoErr(err)
+
+		for decoder := json.NewDecoder(file); decoder.More(); {
+			var span struct {
+				Name        string
+				SpanContext spanContext
+				Links       []struct{ SpanContext spanContext }
+			}
+			is.NoErr(decoder.Decode(&span))
+
+			id := span.SpanContext.TraceID
+			if hops[id] == nil {
+				hops[id] = make(map[string]int)
+			}
+
+			hops[id][span.Name]++
+
+			if len(span.Links) > 0 {
+				sessions[id] = span.Links[0].SpanContext.TraceID
+			}
+		}
+
+		file.Close()
+	}
+
+	placed := 0
+
+	for id, session := range sessions {
+		is.True(hops[session]["balancer.first_packet"] > 0)
+		is.Equal(hops[session]["agent.session"], 1)
+
+		if hops[id]["sibling.run"] > 0 && hops[id]["backend.request"] > 0 {
+			placed++
+		}
+	}
+
+	is.True(placed > 0) // requests with all hops: balancer, agent, sibling, backend server
 }
--- a/internal/program/agent/handler.go
+++ b/internal/program/agent/handler.go
@@ -37,7 +37,7 @@
 
 	ctx := propagation.TraceContext{}.Extract(request.Context(), propagation.HeaderCarrier(request.Header))
 
-	ctx, span := h.tracer.Start(ctx, "agent.request", trace.WithAttributes(attribute.String("class", class.Name)))
+	ctx, span := startRequest(ctx, h.tracer, class.Name)
 	defer span.End()
 
 	// A caller that sends its body slowly holds memory, so it gets the deadline
--- /dev/null
+++ b/internal/program/agent/session.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/qlogwriter"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"jayspindle/internal/program/telemetry"
+)
+
+// session is what a flow's context holds for its trace. quic-go fills it before
+// the flow is accepted.
+type session struct {
+	began time.Time
+	dcid  []byte // destination connection ID of the first packet
+	span  trace.SpanContext
+}
+
+type sessionKey struct{}
+
+func sessionOf(ctx context.Context) *session {
+	found, _ := ctx.Value(sessionKey{}).(*session)
+
+	return found
+}
+
+// withSession is the ConnContext of the QUIC transport.
+func withSession(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	return context.WithValue(ctx, sessionKey{}, &session{began: time.Now()}), nil
+}
+
+// noteFirst is the Tracer of the QUIC configuration. It traces nothing: it is
+// the only place where quic-go tells the first destination connection ID.
+func noteFirst(ctx context.Context, _ bool, dcid quic.ConnectionID) qlogwriter.Trace {
+	if found := sessionOf(ctx); found != nil {
+		found.dcid = dcid.Bytes()
+	}
+
+	return nil
+}
+
+// traceSession records the hop of the handshake. The span ends here, because a
+// flow stays open for a shift and a span is written at its end.
+func traceSession(ctx context.Context, tracer trace.Tracer, caller string) {
+	found := sessionOf(ctx)
+	if found == nil {
+		return
+	}
+
+	_, span := tracer.Start(telemetry.WithSession(ctx, found.dcid), "agent.session",
+		trace.WithTimestamp(found.began), trace.WithAttributes(attribute.String("caller", caller)))
+	found.span = span.SpanContext()
+	span.End()
+}
+
+// startRequest starts the span of a request. It follows the caller's trace with
+// a link to the session, or is a part of the session's trace.
+func startRequest(ctx context.Context, tracer trace.Tracer, class string) (context.Context, trace.Span) {
+	options := []trace.SpanStartOption{trace.WithAttributes(attribute.String("class", class))}
+
+	if found := sessionOf(ctx); found != nil && found.span.IsValid() {
+		if trace.SpanContextFromContext(ctx).IsValid() {
+			options = append(options, trace.WithLinks(trace.Link{SpanContext: found.span}))
+		} else {
+			ctx = trace.ContextWithSpanContext(ctx, found.span)
+		}
+	}
+
+	return tracer.Start(ctx, "agent.request", options...)
+}
--- a/internal/program/agent/sibling.go
+++ b/internal/program/agent/sibling.go
@@ -4,11 +4,15 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/protocol/peer"
 	"jayspindle/internal/state/view"
@@ -212,6 +216,7 @@
 	service string
 	local   *local
 	classes func(name string) (view.Class, bool)
+	tracer  trace.Tracer
 	// drained is closed when feeds must move to other agents.
 	drained <-chan struct{}
 }
@@ -232,6 +237,18 @@
 		return send(&peer.Frame{State: peer.NotRun, Reason: "unknown class " + message.Class})
 	}
 
+	if message.Header == nil {
+		message.Header = make(http.Header)
+	}
+
+	carrier := propagation.HeaderCarrier(message.Header)
+
+	ctx, span := p.tracer.Start(propagation.TraceContext{}.Extract(ctx, carrier), "sibling.run",
+		trace.WithAttributes(attribute.String("class", class.Name)))
+	defer span.End()
+
+	propagation.TraceContext{}.Inject(ctx, carrier)
+
 	if class.Feed {
 		// The sibling resumes the feed elsewhere after the last whole event.
 		limited, cancel := context.WithCancel(ctx)
--- a/internal/program/backend/backend.go
+++ b/internal/program/backend/backend.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	server, err := backend.New(config, ledger, logger)
+//	server, err := backend.New(config, ledger, logger, tracer)
 //	err = server.Run(ctx)
 //
 // Routes are described by settings: a fast or slow answer, a non-idempotent
@@ -29,6 +29,9 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/program/telemetry"
 	"jayspindle/internal/state/settings"
@@ -67,6 +70,7 @@
 	config  Settings
 	ledger  *Ledger
 	logger  *slog.Logger
+	tracer  trace.Tracer
 	slots   chan struct{}
 	started time.Time
 	runs    atomic.Int64
@@ -77,11 +81,12 @@
 }
 
 // New returns a backend server. It listens once Run is called.
-func New(config Settings, ledger *Ledger, logger *slog.Logger) *Server {
+func New(config Settings, ledger *Ledger, logger *slog.Logger, tracer trace.Tracer) *Server {
 	return &Server{
 		config: config,
 		ledger: ledger,
 		logger: logger,
+		tracer: tracer,
 		slots:  make(chan struct{}, config.Slots),
 		random: rand.New(rand.NewPCG(config.Seed, uint64(config.Listen.Port()))),
 		stop:   context.Background(),
@@ -139,6 +144,12 @@
 		}
 
 		mux.HandleFunc(route.Method+" "+route.Path, func(response http.ResponseWriter, request *http.Request) {
+			ctx := propagation.TraceContext{}.Extract(request.Context(), propagation.HeaderCarrier(request.Header))
+
+			ctx, span := s.tracer.Start(ctx, "backend.request", trace.WithAttributes(attribute.String("path", route.Path)))
+			defer span.End()
+
+			request = request.WithContext(ctx)
 			response.Header().Set("Backend-Server", s.config.Instance.Name)
 			handler(response, request, route)
 		})
--- a/internal/program/balancer/balancer.go
+++ b/internal/program/balancer/balancer.go
@@ -23,10 +23,13 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/coordination/forward"
 	"jayspindle/internal/program/member"
 	"jayspindle/internal/program/telemetry"
+	"jayspindle/internal/protocol/connid"
 	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/protocol/datagram"
 	"jayspindle/internal/state/view"
@@ -242,6 +245,10 @@
 				continue
 			}
 
+			if decision.Reason == forward.First || decision.Reason == forward.FirstFurther {
+				b.traceFirst(batch.Payload(i), &decision)
+			}
+
 			framed := batch.Framed(i)
 			worker.Seal(framed, &decision.Header)
 			outbox.Add(data, framed, decision.To)
@@ -251,6 +258,22 @@
 	}
 }
 
+// traceFirst records the hop of a first packet in the trace of its session.
+func (b *Balancer) traceFirst(payload []byte, decision *forward.Decision) {
+	dcid := connid.Parse(payload).DCID
+	if !b.observed.SamplesSession(dcid) {
+		return
+	}
+
+	_, span := b.observed.Tracer().Start(telemetry.WithSession(context.Background(), dcid), "balancer.first_packet",
+		trace.WithAttributes(
+			attribute.Int64("service", int64(decision.Header.Service)),
+			attribute.Int64("agent", int64(decision.Header.Agent)),
+			attribute.String("caller", decision.Header.Caller.String()),
+			attribute.String("reason", decision.Reason.String())))
+	span.End()
+}
+
 // fromAgents returns the handler of one data socket.
 func (b *Balancer) fromAgents() func(*udp.Batch) {
 	worker := b.engine.Load().Worker()
--- a/internal/program/telemetry/telemetry.go
+++ b/internal/program/telemetry/telemetry.go
@@ -60,6 +60,7 @@
 	provider *sdktrace.TracerProvider
 	tracer   trace.Tracer
 	file     *os.File
+	sampler  sdktrace.Sampler // of spans without a parent
 	server   *http.Server
 	ready    atomic.Bool
 	group    conc.WaitGroup
@@ -111,11 +112,13 @@
 	}
 
 	t.file = file
+	t.sampler = sdktrace.TraceIDRatioBased(config.TraceRatio)
 	t.provider = sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
 		// A hop follows the decision of the hop before it, so that a sampled
 		// request has all of its spans.
-		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(config.TraceRatio))),
+		sdktrace.WithSampler(sdktrace.ParentBased(t.sampler)),
+		sdktrace.WithIDGenerator(spanIDs{}),
 		sdktrace.WithResource(resource.NewSchemaless(
 			semconv.ServiceName(program), semconv.ServiceInstanceID(instance.Name),
 			semconv.CloudAvailabilityZone(instance.Zone))),
