End programs whose incarnation was forgotten

The controllers forget an instance after an hour without a lease and give it another incarnation when it announces again. Agent and balancer took the new one for renewals and claims, but went on with the former one in their data path: balancers found no such agent, and agents did not reply through such a balancer. The member now keeps its incarnation and reports that it was replaced, and the program ends, so that its supervisor starts it anew.

--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -251,6 +251,14 @@
 		})
 	}
 
+	group.Go(func() {
+		select {
+		case <-a.member.Replaced():
+			fail(errReplaced)
+		case <-living.Done():
+		}
+	})
+
 	group.Go(func() {
 		defer failOnPanic(fail)
 
@@ -269,6 +277,10 @@
 	return a.serve(ctx)
 }
 
+// errReplaced ends an agent that got another incarnation. No balancer sends to
+// the former one any more.
+var errReplaced = errors.New("the controllers have forgotten the agent, it must start anew")
+
 // errPanicked ends an agent of which a part has panicked.
 var errPanicked = errors.New("a part of the agent has panicked")
 
@@ -298,12 +310,14 @@
 
 	<-ctx.Done()
 
-	if errors.Is(context.Cause(ctx), errPanicked) {
-		// Nothing can be finished without that part. The flows are cut.
+	if cause := context.Cause(ctx); errors.Is(cause, errPanicked) || errors.Is(cause, errReplaced) {
+		// Nothing can be finished without that part or from the former
+		// incarnation. The flows are cut.
+		_ = listener.Close()
 		_ = transport.Close()
 		group.Wait()
 
-		return errPanicked
+		return cause
 	}
 
 	a.drain(context.WithoutCancel(ctx), listener)
--- a/internal/program/balancer/balancer.go
+++ b/internal/program/balancer/balancer.go
@@ -175,10 +175,21 @@
 	b.observed.SetReady(true)
 	b.logger.Info("serving", "incarnation", b.member.Incarnation(), "data", b.config.Data.String())
 
-	<-ctx.Done()
-	b.leave(living)
+	select {
+	case <-ctx.Done():
+		b.leave(living)
 
-	return errors.Trace(b.close())
+		return errors.Trace(b.close())
+	case <-b.member.Replaced():
+		// Agents do not reply through the former incarnation.
+		b.observed.SetReady(false)
+
+		if err := b.close(); err != nil {
+			b.logger.Debug("sockets not closed", "error", err)
+		}
+
+		return errors.New("the controllers have forgotten the balancer, it must start anew")
+	}
 }
 
 // leave lets the fabric take the balancer out before it stops forwarding.
--- a/internal/program/member/error.go
+++ b/internal/program/member/error.go
@@ -8,6 +8,7 @@
 // The kinds of errors of this package.
 const (
 	KindCancelled Kind = "cancelled" // the context ended first
+	KindReplaced  Kind = "replaced"  // another incarnation was assigned
 )
 
 // Error is the error type of this package.
--- a/internal/program/member/member.go
+++ b/internal/program/member/member.go
@@ -61,13 +61,20 @@
 // Member is the membership of one instance.
 type Member struct {
 	options     Options
-	calls       *link.Client
+	calls       caller
 	bootID      []byte
 	current     atomic.Pointer[inForce]
 	confirmed   atomic.Int64 // Unix nanoseconds
 	incarnation atomic.Uint32
 	ready       chan struct{} // closed once there is a view and an incarnation
 	readyOnce   sync.Once
+	replaced    chan struct{} // closed when another incarnation was assigned
+}
+
+// caller calls the controllers.
+type caller interface {
+	Call(ctx context.Context, method string, request, reply any) error
+	Close()
 }
 
 // inForce is a view and the time since which it is in force.
@@ -82,10 +89,11 @@
 	_, _ = rand.Read(bootID) // never fails: crypto/rand aborts the process instead
 
 	return &Member{
-		options: options,
-		calls:   newClient(options, options.Upstreams),
-		bootID:  bootID,
-		ready:   make(chan struct{}),
+		options:  options,
+		calls:    newClient(options, options.Upstreams),
+		bootID:   bootID,
+		ready:    make(chan struct{}),
+		replaced: make(chan struct{}),
 	}
 }
 
@@ -193,6 +201,11 @@
 // Incarnation returns the incarnation of the instance, 0 before Wait has returned.
 func (m *Member) Incarnation() view.Incarnation { return view.Incarnation(m.incarnation.Load()) }
 
+// Replaced is closed when the instance was forgotten, after an hour without a
+// lease, and got another incarnation. Its flows and claims belong to the former
+// one, so the program must start anew.
+func (m *Member) Replaced() <-chan struct{} { return m.replaced }
+
 // keepLease announces the instance and renews its lease. An instance that is
 // no longer known, for example after it was cut off for longer than the lease,
 // announces again with the same boot ID and keeps its incarnation.
@@ -215,6 +228,12 @@
 			m.options.Logger.Warn("lease not kept", "known", known, "error", err)
 		}
 
+		select {
+		case <-m.replaced:
+			return
+		default:
+		}
+
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -235,7 +254,15 @@
 		return false, errors.Trace(err)
 	}
 
-	previous := view.Incarnation(m.incarnation.Swap(uint32(reply.Incarnation)))
+	previous := m.Incarnation()
+	if previous != 0 && previous != reply.Incarnation {
+		close(m.replaced)
+
+		return false, newError("announce", KindReplaced,
+			errors.Errorf("incarnation %d was forgotten, %d is assigned", previous, reply.Incarnation))
+	}
+
+	m.incarnation.Store(uint32(reply.Incarnation))
 	m.options.Logger.Info("announced", "incarnation", reply.Incarnation, "previous", previous, "weight", reply.Weight)
 	m.checkReady()
 
