--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -148,6 +148,7 @@
 
 	requests := &peerServer{
 		service: a.config.Service, local: a.local, classes: a.class, drained: a.feeds.drained,
+		tracer: a.observed.Tracer(),
 	}
 	server.HandleStream(peer.MethodRun, requests.run)
 	a.claims.register(server)
@@ -250,6 +251,14 @@
 		})
 	}
 
+	group.Go(func() {
+		select {
+		case <-a.member.Replaced():
+			fail(errReplaced)
+		case <-living.Done():
+		}
+	})
+
 	group.Go(func() {
 		defer failOnPanic(fail)
 
@@ -268,6 +277,10 @@
 	return a.serve(ctx)
 }
 
+// errReplaced ends an agent that got another incarnation. No balancer sends to
+// the former one any more.
+var errReplaced = errors.New("the controllers have forgotten the agent, it must start anew")
+
 // errPanicked ends an agent of which a part has panicked.
 var errPanicked = errors.New("a part of the agent has panicked")
 
@@ -297,12 +310,14 @@
 
 	<-ctx.Done()
 
-	if errors.Is(context.Cause(ctx), errPanicked) {
-		// Nothing can be finished without that part. The flows are cut.
+	if cause := context.Cause(ctx); errors.Is(cause, errPanicked) || errors.Is(cause, errReplaced) {
+		// Nothing can be finished without that part or from the former
+		// incarnation. The flows are cut.
+		_ = listener.Close()
 		_ = transport.Close()
 		group.Wait()
 
-		return errPanicked
+		return cause
 	}
 
 	a.drain(context.WithoutCancel(ctx), listener)
@@ -349,6 +364,7 @@
 	transport := &quic.Transport{
 		Conn:                  quicConn{PacketConn: conn, buffers: conn},
 		ConnectionIDGenerator: a.ids.Load(),
+		ConnContext:           withSession,
 		StatelessResetKey:     &reset,
 		TokenGeneratorKey:     &token,
 	}
@@ -362,6 +378,7 @@
 		KeepAlivePeriod:         keepAlive,
 		MaxIdleTimeout:          idleTimeout,
 		DisablePathMTUDiscovery: true,
+		Tracer:                  noteFirst,
 	})
 	if err != nil {
 		return nil, nil, newError("listen", KindSetup, err)
@@ -390,6 +407,8 @@
 		}
 
 		flows.Go(func() {
+			traceSession(connection.Context(), a.observed.Tracer(), connection.RemoteAddr().String())
+
 			if err := a.server.ServeQUICConn(connection); err != nil {
 				a.logger.Debug("flow ended", "caller", connection.RemoteAddr().String(), "cause", err)
 			}
--- a/internal/program/balancer/balancer.go
+++ b/internal/program/balancer/balancer.go
@@ -23,10 +23,13 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/coordination/forward"
 	"jayspindle/internal/program/member"
 	"jayspindle/internal/program/telemetry"
+	"jayspindle/internal/protocol/connid"
 	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/protocol/datagram"
 	"jayspindle/internal/state/view"
@@ -172,10 +175,21 @@
 	b.observed.SetReady(true)
 	b.logger.Info("serving", "incarnation", b.member.Incarnation(), "data", b.config.Data.String())
 
-	<-ctx.Done()
-	b.leave(living)
+	select {
+	case <-ctx.Done():
+		b.leave(living)
 
-	return errors.Trace(b.close())
+		return errors.Trace(b.close())
+	case <-b.member.Replaced():
+		// Agents do not reply through the former incarnation.
+		b.observed.SetReady(false)
+
+		if err := b.close(); err != nil {
+			b.logger.Debug("sockets not closed", "error", err)
+		}
+
+		return errors.New("the controllers have forgotten the balancer, it must start anew")
+	}
 }
 
 // leave lets the fabric take the balancer out before it stops forwarding.
@@ -242,6 +256,10 @@
 				continue
 			}
 
+			if decision.Reason == forward.First || decision.Reason == forward.FirstFurther {
+				b.traceFirst(batch.Payload(i), &decision)
+			}
+
 			framed := batch.Framed(i)
 			worker.Seal(framed, &decision.Header)
 			outbox.Add(data, framed, decision.To)
@@ -251,6 +269,22 @@
 	}
 }
 
+// traceFirst records the hop of a first packet in the trace of its session.
+func (b *Balancer) traceFirst(payload []byte, decision *forward.Decision) {
+	dcid := connid.Parse(payload).DCID
+	if !b.observed.SamplesSession(dcid) {
+		return
+	}
+
+	_, span := b.observed.Tracer().Start(telemetry.WithSession(context.Background(), dcid), "balancer.first_packet",
+		trace.WithAttributes(
+			attribute.Int64("service", int64(decision.Header.Service)),
+			attribute.Int64("agent", int64(decision.Header.Agent)),
+			attribute.String("caller", decision.Header.Caller.String()),
+			attribute.String("reason", decision.Reason.String())))
+	span.End()
+}
+
 // fromAgents returns the handler of one data socket.
 func (b *Balancer) fromAgents() func(*udp.Batch) {
 	worker := b.engine.Load().Worker()
