Share one shape of error types

Change: internal/state/failure has the shape as a generic type; each package names it for its own kinds. Types that carry more (raft, link, catalog, wal, document) stay as they are.

--- a/internal/coordination/claim/error.go
+++ b/internal/coordination/claim/error.go
@@ -1,6 +1,6 @@
 package claim
 
-import "fmt"
+import "jayspindle/internal/state/failure"
 
 // Kind classifies an Error.
 type Kind string
@@ -13,24 +13,8 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	operation string
-	kind      Kind
-	err       error
-}
+type Error = failure.Error[Kind]
 
 func newError(operation string, kind Kind, err error) *Error {
-	return &Error{operation: operation, kind: kind, err: err}
+	return failure.New("claim", operation, kind, err)
 }
-
-// Error returns the operation, the kind and the cause.
-func (e *Error) Error() string { return fmt.Sprintf("claim: %s: %s: %v", e.operation, e.kind, e.err) }
-
-// Operation returns the operation that failed.
-func (e *Error) Operation() string { return e.operation }
-
-// Kind returns the kind of the error.
-func (e *Error) Kind() Kind { return e.kind }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.err }
--- a/internal/coordination/forward/agent.go
+++ b/internal/coordination/forward/agent.go
@@ -37,14 +37,14 @@
 	defer a.mutex.Unlock()
 
 	if a.view != nil && next.Position().Less(a.view.Position()) {
-		return &Error{operation: "apply", kind: KindReversal, err: errors.Errorf(
-			"the view is at %s, %s is in force", next.Position(), a.view.Position())}
+		return newError(KindReversal, errors.Errorf(
+			"the view is at %s, %s is in force", next.Position(), a.view.Position()))
 	}
 
 	if a.view == nil || !slices.Equal(a.view.Keys(), next.Keys()) {
 		keys, err := datagram.New(next.Keys())
 		if err != nil {
-			return &Error{operation: "apply", kind: KindKeys, err: err}
+			return newError(KindKeys, err)
 		}
 
 		a.datagrams = keys
--- a/internal/coordination/forward/balancer.go
+++ b/internal/coordination/forward/balancer.go
@@ -75,12 +75,12 @@
 	made := &snapshot{view: next}
 
 	if old != nil && next.Position().Less(old.view.Position()) {
-		return &Error{operation: "apply", kind: KindReversal, err: errors.Errorf(
-			"the view is at %s, %s is in force", next.Position(), old.view.Position())}
+		return newError(KindReversal, errors.Errorf(
+			"the view is at %s, %s is in force", next.Position(), old.view.Position()))
 	}
 
 	if err := made.setKeys(old, next); err != nil {
-		return &Error{operation: "apply", kind: KindKeys, err: err}
+		return newError(KindKeys, err)
 	}
 
 	if old == nil {
--- a/internal/coordination/rollout/subscribe.go
+++ b/internal/coordination/rollout/subscribe.go
@@ -51,7 +51,7 @@
 
 		// A gap or a wrong digest is repaired by a new subscription at the same place.
 		var typed *Error
-		if !errors.As(err, &typed) || (typed.kind != KindGap && typed.kind != KindDigest) {
+		if !errors.As(err, &typed) || (typed.Kind() != KindGap && typed.Kind() != KindDigest) {
 			i++
 		}
 
--- a/internal/protocol/keyring/error.go
+++ b/internal/protocol/keyring/error.go
@@ -1,6 +1,6 @@
 package keyring
 
-import "fmt"
+import "jayspindle/internal/state/failure"
 
 // Kind classifies an Error.
 type Kind string
@@ -13,20 +13,8 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	operation string
-	kind      Kind
-	err       error
-}
-
-// Error returns the operation, the kind and the cause.
-func (e *Error) Error() string { return fmt.Sprintf("keyring: %s: %s: %v", e.operation, e.kind, e.err) }
-
-// Operation returns the operation that failed.
-func (e *Error) Operation() string { return e.operation }
+type Error = failure.Error[Kind]
 
-// Kind returns the kind of the error.
-func (e *Error) Kind() Kind { return e.kind }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.err }
+func newError(operation string, kind Kind, err error) *Error {
+	return failure.New("keyring", operation, kind, err)
+}
--- a/internal/protocol/keyring/keyring.go
+++ b/internal/protocol/keyring/keyring.go
@@ -69,7 +69,7 @@
 // all keys.
 func New[T any](keys []view.Key, limit int, build func(view.Key) (T, error)) (*Ring[T], error) {
 	if len(keys) == 0 {
-		return nil, &Error{operation: "new", kind: KindEmpty, err: errors.New("the view has no fabric key")}
+		return nil, newError("new", KindEmpty, errors.New("the view has no fabric key"))
 	}
 
 	if limit > 0 && len(keys) > limit {
@@ -82,15 +82,12 @@
 	for _, key := range keys {
 		slot := key.ID & idMask
 		if ring.slots[slot] != nil {
-			return nil, &Error{
-				operation: "new", kind: KindAmbiguous,
-				err: errors.Errorf("%s equals another key modulo %d", key, slots),
-			}
+			return nil, newError("new", KindAmbiguous, errors.Errorf("%s equals another key modulo %d", key, slots))
 		}
 
 		item, err := build(key)
 		if err != nil {
-			return nil, &Error{operation: "new", kind: KindCipher, err: err}
+			return nil, newError("new", KindCipher, err)
 		}
 
 		ring.slots[slot] = &item
--- a/internal/transport/udp/socket.go
+++ b/internal/transport/udp/socket.go
@@ -67,7 +67,7 @@
 				_ = opened.Close()
 			}
 
-			return nil, &Error{operation: "listen on " + address.String(), kind: KindListen, err: err}
+			return nil, newError("listen on "+address.String(), KindListen, err)
 		}
 
 		address = socket.address
@@ -179,7 +179,7 @@
 		}
 
 		if err != nil {
-			return &Error{operation: "serve " + s.address.String(), kind: KindReceive, err: err}
+			return newError("serve "+s.address.String(), KindReceive, err)
 		}
 
 		handle(batch)
@@ -190,7 +190,7 @@
 // Stop ends Serve after the batch it is handling. The socket can still send.
 func (s *Socket) Stop() error {
 	if err := s.conn.SetReadDeadline(past); err != nil {
-		return &Error{operation: "stop", kind: KindClose, err: err}
+		return newError("stop", KindClose, err)
 	}
 
 	return nil
@@ -199,7 +199,7 @@
 // Close closes the socket.
 func (s *Socket) Close() error {
 	if err := s.conn.Close(); err != nil {
-		return &Error{operation: "close", kind: KindClose, err: err}
+		return newError("close", KindClose, err)
 	}
 
 	return nil
