Replace co-owners from the command line, show pending changes and progress

Cause: the catalog could replace a co-owner's key, but no command did; history left out the pending change; members had columns that nothing fills; load was silent for its whole duration.

--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -56,6 +56,7 @@
 	commander.Register(&signCommand{}, groupOperators)
 	commander.Register(&rejectCommand{}, groupOperators)
 	commander.Register(&promoteCommand{}, groupOperators)
+	commander.Register(&replaceOwnerCommand{}, groupOperators)
 	commander.Register(&statusCommand{}, groupOperators)
 	commander.Register(&historyCommand{}, groupOperators)
 	commander.Register(&explainCommand{}, groupOperators)
--- a/internal/cli/cmd/load.go
+++ b/internal/cli/cmd/load.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/sourcegraph/conc"
 
 	"jayspindle/internal/program/load"
 	"jayspindle/internal/program/telemetry"
@@ -57,7 +58,7 @@
 		return fail(err)
 	}
 
-	result, err := client.Run(ctx)
+	result, err := c.drive(ctx, client)
 	if err != nil {
 		return fail(err)
 	}
@@ -77,3 +78,19 @@
 
 	return exitOK
 }
+
+// drive runs the load and shows its progress on standard error.
+func (*loadCommand) drive(ctx context.Context, client *load.Client) (*load.Result, error) {
+	showing, stop := context.WithCancel(ctx)
+
+	var group conc.WaitGroup
+
+	group.Go(func() { client.ShowProgress(showing, os.Stderr) })
+
+	result, err := client.Run(ctx)
+
+	stop()
+	group.Wait()
+
+	return result, err
+}
--- a/internal/cli/cmd/members.go
+++ b/internal/cli/cmd/members.go
@@ -20,7 +20,6 @@
 	operator
 	action  string
 	replica string
-	name    string
 	address string
 }
 
@@ -41,7 +40,6 @@
 	c.setFlags(flags)
 	flags.StringVar(&c.action, "action", "list", "list, add, promote or remove")
 	flags.StringVar(&c.replica, "replica", "", "replica `identity` in hexadecimal")
-	flags.StringVar(&c.name, "name", "", "name of the controller to add")
 	flags.StringVar(&c.address, "address", "", "`address` of the controller to add")
 }
 
@@ -74,7 +72,7 @@
 			return control.MembersReply{}, errors.Annotatef(err, "-address %q", c.address)
 		}
 
-		return client.AddMember(ctx, control.Member{Replica: replica, Name: c.name, Address: address})
+		return client.AddMember(ctx, control.Member{Replica: replica, Address: address})
 	default:
 		return control.MembersReply{}, errors.Errorf("-action %q is not one of list, add, promote, remove", c.action)
 	}
@@ -82,12 +80,13 @@
 
 func showMembers(reply control.MembersReply) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "REPLICA\tNAME\tADDRESS\tVOTER\tSTORED INDEX\tLEADER")
+	fmt.Fprintln(table, "REPLICA\tADDRESS\tVOTER\tSTORED INDEX")
 
 	for _, member := range reply.Members {
-		fmt.Fprintf(table, "%016x\t%s\t%s\t%t\t%d\t%t\n", member.Replica, member.Name, member.Address, member.Voter,
-			member.Match, member.Name == reply.Leader)
+		fmt.Fprintf(table, "%016x\t%s\t%t\t%d\n", member.Replica, member.Address, member.Voter, member.Match)
 	}
 
 	_ = table.Flush() // standard output: nothing is left to tell the operator with
+
+	fmt.Printf("leader: %s\n", reply.Leader)
 }
--- a/internal/cli/cmd/operator.go
+++ b/internal/cli/cmd/operator.go
@@ -16,6 +16,7 @@
 
 	"jayspindle/internal/program/controller"
 	"jayspindle/internal/protocol/control"
+	"jayspindle/internal/state/catalog"
 	"jayspindle/internal/state/settings"
 	"jayspindle/internal/transport/identity"
 	"jayspindle/internal/transport/link"
@@ -132,6 +133,12 @@
 // showChange prints what became of a change.
 func showChange(reply control.ChangeReply) func() {
 	return func() {
+		if reply.State == control.StateInvalid {
+			fmt.Printf("refused (%s): %s\n", reply.Refusal, reply.Message)
+
+			return
+		}
+
 		change := reply.Change
 		fmt.Printf("%s: version %d, digest %x, signed by %d of 2 %v\n",
 			reply.State, change.Version, change.Digest, len(change.Signers), change.Signers)
@@ -151,21 +158,38 @@
 func pendingChange(
 	ctx context.Context, client *controller.Client, environment string, digest [32]byte,
 ) (control.Change, error) {
-	status, err := client.Status(ctx, environment)
+	pending, err := newestPending(ctx, client, environment)
 	if err != nil {
 		return control.Change{}, err
 	}
 
-	if status.Pending == nil {
+	if pending == nil {
 		return control.Change{}, link.Errorf(link.KindNotFound, "no change of %s is pending", environment)
 	}
 
-	if [32]byte(status.Pending.Digest) != digest {
+	if [32]byte(pending.Digest) != digest {
 		return control.Change{}, link.Errorf(link.KindConflict,
-			"the pending change of %s has digest %x, the file has %x", environment, status.Pending.Digest, digest)
+			"the pending change of %s has digest %x, not %x", environment, pending.Digest, digest)
+	}
+
+	return *pending, nil
+}
+
+// newestPending returns the pending change, nil if there is none. The owners
+// have a history, but no environment with a status.
+func newestPending(ctx context.Context, client *controller.Client, environment string) (*control.Change, error) {
+	if environment != catalog.Owners {
+		status, err := client.Status(ctx, environment)
+
+		return status.Pending, err
+	}
+
+	history, err := client.History(ctx, environment, 1)
+	if err != nil || len(history.Changes) == 0 || history.Changes[0].State != control.StatePending {
+		return nil, err
 	}
 
-	return *status.Pending, nil
+	return &history.Changes[0], nil
 }
 
 // readDocument reads a document file, which may be "-" for standard input.
--- a/internal/cli/cmd/sign.go
+++ b/internal/cli/cmd/sign.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"flag"
 
 	"github.com/google/subcommands"
+	"github.com/juju/errors"
 
 	"jayspindle/internal/program/controller"
 	"jayspindle/internal/protocol/control"
@@ -17,14 +19,16 @@
 	operator
 	environment string
 	file        string
+	digest      string
 	owner       string
 	key         string
 }
 
 func (s *signature) setSignFlags(flags *flag.FlagSet) {
 	s.setFlags(flags)
-	flags.StringVar(&s.environment, "environment", "trial", "trial or production")
+	flags.StringVar(&s.environment, "environment", "trial", "trial, production or owners")
 	flags.StringVar(&s.file, "file", "", "the document that was read and is decided on")
+	flags.StringVar(&s.digest, "digest", "", "instead of -file, the `digest` that replace-owner printed")
 	flags.StringVar(&s.owner, "owner", "", "name of the co-owner")
 	flags.StringVar(&s.key, "key", "", "private key `file` of the co-owner")
 }
@@ -33,7 +37,7 @@
 func (s *signature) sign(
 	ctx context.Context, client *controller.Client, decision document.Decision,
 ) (control.Change, []byte, error) {
-	data, err := readDocument(s.file)
+	digest, err := s.decidedDigest()
 	if err != nil {
 		return control.Change{}, nil, err
 	}
@@ -43,8 +47,6 @@
 		return control.Change{}, nil, err
 	}
 
-	digest := document.Digest(data)
-
 	change, err := pendingChange(ctx, client, s.environment, digest)
 	if err != nil {
 		return control.Change{}, nil, err
@@ -55,6 +57,23 @@
 	return change, key.SignMessage(text), nil
 }
 
+// decidedDigest returns the digest of the document that the co-owner has read,
+// or the one that the co-owner was told for a change of owners.
+func (s *signature) decidedDigest() ([32]byte, error) {
+	if s.digest == "" {
+		data, err := readDocument(s.file)
+
+		return document.Digest(data), err
+	}
+
+	decoded, err := hex.DecodeString(s.digest)
+	if err != nil || len(decoded) != len([32]byte{}) {
+		return [32]byte{}, errors.Errorf("-digest %q is not 64 hexadecimal digits", s.digest)
+	}
+
+	return [32]byte(decoded), nil
+}
+
 type signCommand struct{ signature }
 
 func (*signCommand) Name() string { return "sign" }
--- a/internal/program/controller/operate.go
+++ b/internal/program/controller/operate.go
@@ -192,7 +192,7 @@
 	}
 
 	records, err := read(ctx, c, func(o *owner, _ uint64) []catalog.Record {
-		return o.state.History(request.Environment, limit)
+		return o.history(request.Environment, limit)
 	})
 	if err != nil {
 		return nil, err
@@ -206,6 +206,20 @@
 	return reply, nil
 }
 
+// history returns the pending change, if there is one, and then the decided ones.
+func (o *owner) history(environment string, limit int) []catalog.Record {
+	decided := o.state.History(environment, limit)
+
+	pending, ok := o.state.Pending(environment)
+	if !ok || slices.ContainsFunc(decided, func(r catalog.Record) bool { return r.ChangeID == pending.ChangeID }) {
+		return decided
+	}
+
+	records := append([]catalog.Record{pending}, decided...)
+
+	return records[:min(len(records), limit)]
+}
+
 func (c *Controller) explain(ctx context.Context, request control.Explain) (any, error) {
 	lines, err := read(ctx, c, func(o *owner, _ uint64) []string { return o.explain(request) })
 	if err == nil && len(lines) == 0 {
