Give claims one way to put a record

grant, complete and release each dropped an earlier record and inserted a new one, and three places chose the list by status. put replaces the record of a key and listOf chooses the list, so the order of dropping before the check of the capacity is stated once.

--- a/internal/coordination/claim/store.go
+++ b/internal/coordination/claim/store.go
@@ -30,11 +30,14 @@
 	since     time.Time // of the grant
 }
 
+// place identifies a record.
 type place struct {
 	seat view.Incarnation
 	key  Key
 }
 
+func (r *record) place() place { return place{seat: r.seat, key: r.key} }
+
 // Store holds the claims of one agent: those of its own seat and of the seats
 // it took over. It holds at most a fixed number of records of at most MaxAnswer
 // plus MaxToken bytes each.
@@ -130,11 +133,7 @@
 		return
 	}
 
-	if r != nil {
-		s.drop(s.records[at])
-	}
-
-	s.insert(&record{seat: at.seat, key: at.key, execution: execution, status: Granted, since: now})
+	s.put(&record{seat: at.seat, key: at.key, execution: execution, status: Granted, since: now})
 }
 
 // complete records that an execution has ended. Only an execution with a
@@ -143,11 +142,8 @@
 	r := s.find(at)
 
 	switch {
-	case r == nil:
-		s.insert(&record{seat: at.seat, key: at.key, execution: execution, status: Completed, answer: answer, since: now})
-	case r.status == Released:
-		s.drop(s.records[at])
-		s.insert(&record{seat: at.seat, key: at.key, execution: execution, status: Completed, answer: answer, since: now})
+	case r == nil || r.status == Released:
+		s.put(&record{seat: at.seat, key: at.key, execution: execution, status: Completed, answer: answer, since: now})
 	case r.status == Granted:
 		r.status = Completed
 		r.execution = execution
@@ -163,25 +159,22 @@
 		return
 	}
 
-	if r != nil {
-		s.drop(s.records[at])
-	}
-
-	s.insert(&record{seat: at.seat, key: at.key, execution: execution, status: Released, since: now})
+	s.put(&record{seat: at.seat, key: at.key, execution: execution, status: Released, since: now})
 }
 
-// insert adds a record if there is room.
-func (s *Store) insert(r *record) {
-	if len(s.records) >= s.capacity {
-		return
+// put adds a record if there is room, in place of an earlier one of its key.
+func (s *Store) put(r *record) {
+	at := r.place()
+
+	if earlier, ok := s.records[at]; ok {
+		s.drop(earlier)
 	}
 
-	target := s.order
-	if r.status == Released {
-		target = s.released
+	if len(s.records) >= s.capacity {
+		return
 	}
 
-	s.records[place{seat: r.seat, key: r.key}] = target.PushBack(r)
+	s.records[at] = s.listOf(r).PushBack(r)
 	invariant.Assert(len(s.records) <= s.capacity, "claim: the store is bounded",
 		slog.Int("records", len(s.records)), slog.Int("capacity", s.capacity))
 }
@@ -197,13 +190,17 @@
 
 func (s *Store) drop(element *list.Element) {
 	r := element.Value.(*record)
-	delete(s.records, place{seat: r.seat, key: r.key})
+	delete(s.records, r.place())
+	s.listOf(r).Remove(element)
+}
 
+// listOf returns the list that holds records of this status.
+func (s *Store) listOf(r *record) *list.List {
 	if r.status == Released {
-		s.released.Remove(element)
-	} else {
-		s.order.Remove(element)
+		return s.released
 	}
+
+	return s.order
 }
 
 // Expire drops what is older than the retention.
@@ -323,20 +320,16 @@
 
 // insertByAge inserts a record that is older than the newest ones.
 func (s *Store) insertByAge(r *record) {
-	target := s.order
-	if r.status == Released {
-		target = s.released
-	}
+	target := s.listOf(r)
 
 	after := target.Back()
 	for after != nil && after.Value.(*record).since.After(r.since) {
 		after = after.Prev()
 	}
 
-	at := place{seat: r.seat, key: r.key}
 	if after == nil {
-		s.records[at] = target.PushFront(r)
+		s.records[r.place()] = target.PushFront(r)
 	} else {
-		s.records[at] = target.InsertAfter(r, after)
+		s.records[r.place()] = target.InsertAfter(r, after)
 	}
 }
