Share the checks that messages and views repeat

Submit, Promote and ReplaceOwner checked a change ID in the same two lines, Sign and Reject the same four fields, and balancer and agent the position of a view. Each check has one function now. The bound on list lengths in control says what it is for, the comment on connection ID keys is wrapped, and math.MaxInt replaces a computed one. The tests of internal/coordination and internal/protocol pass under the race detector.

--- a/internal/coordination/forward/agent.go
+++ b/internal/coordination/forward/agent.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 
 	"jayspindle/internal/protocol/datagram"
 	"jayspindle/internal/state/view"
@@ -36,9 +35,10 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 
-	if a.view != nil && next.Position().Less(a.view.Position()) {
-		return newError(KindReversal, errors.Errorf(
-			"the view is at %s, %s is in force", next.Position(), a.view.Position()))
+	if a.view != nil {
+		if err := checkPosition(a.view, next); err != nil {
+			return err
+		}
 	}
 
 	if a.view == nil || !slices.Equal(a.view.Keys(), next.Keys()) {
--- a/internal/coordination/forward/balancer.go
+++ b/internal/coordination/forward/balancer.go
@@ -74,9 +74,10 @@
 	old := b.current.Load()
 	made := &snapshot{view: next}
 
-	if old != nil && next.Position().Less(old.view.Position()) {
-		return newError(KindReversal, errors.Errorf(
-			"the view is at %s, %s is in force", next.Position(), old.view.Position()))
+	if old != nil {
+		if err := checkPosition(old.view, next); err != nil {
+			return err
+		}
 	}
 
 	if err := made.setKeys(old, next); err != nil {
@@ -98,6 +99,18 @@
 	return nil
 }
 
+// checkPosition refuses a view with a lower position than the one in force.
+func checkPosition(current, next *view.View) error {
+	if next.Position().Less(current.Position()) {
+		return newError(KindReversal, errors.Errorf(
+			"the view is at %s, %s is in force", next.Position(), current.Position()))
+	}
+
+	return nil
+}
+
+// setKeys derives the keys of the next view, or shares those of the old
+// snapshot if the fabric keys are the same.
 func (s *snapshot) setKeys(old *snapshot, next *view.View) error {
 	if old != nil && slices.Equal(old.view.Keys(), next.Keys()) {
 		s.connections, s.datagrams = old.connections, old.datagrams
--- a/internal/coordination/raft/ready.go
+++ b/internal/coordination/raft/ready.go
@@ -1,5 +1,7 @@
 package raft
 
+import "math"
+
 // Ready lists what the owner has to do, in this order: save and restore the
 // snapshot, save hard state and entries, send the messages, apply the committed
 // entries, answer the reads.
@@ -25,7 +27,7 @@
 	n.flush()
 
 	ready.Snapshot = n.install
-	ready.Entries = n.log.slice(n.log.stable+1, n.log.last(), len(n.log.entries)+1, int(^uint(0)>>1))
+	ready.Entries = n.log.slice(n.log.stable+1, n.log.last(), len(n.log.entries)+1, math.MaxInt)
 	ready.Committed = n.log.slice(n.log.handed+1, n.log.commit, n.config.MaxApplyEntries, maxApplyBytes)
 	n.log.handed += uint64(len(ready.Committed))
 	n.confirmReads()
--- a/internal/protocol/connid/connid.go
+++ b/internal/protocol/connid/connid.go
@@ -48,8 +48,9 @@
 type Scratch [aes.BlockSize]byte
 
 // Keys seals connection IDs with the predecessor of the newest fabric key (see
-// keyring) and opens them with every key of the view, so that an ID is valid for as long as the catalog
-// keeps its key. It is immutable and safe for concurrent use.
+// keyring) and opens them with every key of the view, so that an ID is valid
+// for as long as the catalog keeps its key. It is immutable and safe for
+// concurrent use.
 type Keys struct {
 	ring *keyring.Ring[cipher.Block]
 }
--- a/internal/protocol/connid/packet.go
+++ b/internal/protocol/connid/packet.go
@@ -10,8 +10,8 @@
 	Invalid            PacketKind = iota // not QUIC, or cut short
 	ShortHeader                          // 1-RTT
 	Initial                              // of a client, QUIC version 1 or 2
-	ZeroRTT                              //
-	Handshake                            //
+	ZeroRTT                              // early data of a client
+	Handshake                            // of either end
 	Retry                                // sent by servers only
 	VersionNegotiation                   // sent by servers only
 	UnknownVersion                       // long header of a version that only an agent can negotiate
--- a/internal/protocol/control/change.go
+++ b/internal/protocol/control/change.go
@@ -16,8 +16,7 @@
 func (s *Submit) Check() error {
 	return check("submit").
 		name("environment", s.Environment).
-		that(s.ChangeID != "", "change ID is empty").
-		optional("change ID", s.ChangeID, MaxChangeID).
+		changeID(s.ChangeID).
 		name("author", s.Author).
 		optional("reason", s.Reason, MaxReason).
 		that(len(s.Document) > 0 && len(s.Document) <= MaxDocument,
@@ -37,12 +36,7 @@
 
 // Check reports the first field out of bounds.
 func (s *Sign) Check() error {
-	return check("sign").
-		name("environment", s.Environment).
-		exactly("digest", s.Digest, digestBytes).
-		name("owner", s.Owner).
-		exactly("signature", s.Signature, signatureBytes).
-		err
+	return checkDecision("sign", s.Environment, s.Digest, s.Owner, s.Signature)
 }
 
 // Reject ends the pending change without effect.
@@ -56,11 +50,16 @@
 
 // Check reports the first field out of bounds.
 func (r *Reject) Check() error {
-	return check("reject").
-		name("environment", r.Environment).
-		exactly("digest", r.Digest, digestBytes).
-		name("owner", r.Owner).
-		exactly("signature", r.Signature, signatureBytes).
+	return checkDecision("reject", r.Environment, r.Digest, r.Owner, r.Signature)
+}
+
+// checkDecision reports the first field of a Sign or Reject out of bounds.
+func checkDecision(message, environment string, digest []byte, owner string, signature []byte) error {
+	return check(message).
+		name("environment", environment).
+		exactly("digest", digest, digestBytes).
+		name("owner", owner).
+		exactly("signature", signature, signatureBytes).
 		err
 }
 
@@ -77,8 +76,7 @@
 func (p *Promote) Check() error {
 	return check("promote").
 		exactly("digest", p.Digest, digestBytes).
-		that(p.ChangeID != "", "change ID is empty").
-		optional("change ID", p.ChangeID, MaxChangeID).
+		changeID(p.ChangeID).
 		name("author", p.Author).
 		optional("reason", p.Reason, MaxReason).
 		err
@@ -112,7 +110,7 @@
 	return l.
 		optional("change ID", c.ChangeID, MaxChangeID).
 		optional("author", c.Author, MaxName).
-		that(len(c.Digest) == 0 || len(c.Digest) == digestBytes, "digest has %d bytes", len(c.Digest)).
+		optionalDigest(c.Digest).
 		optional("state", string(c.State), MaxName).
 		atMost("signers", len(c.Signers), MaxSigners).
 		optional("reason", c.Reason, MaxReason)
@@ -155,8 +153,7 @@
 		name("owner", r.Owner).
 		name("new name", r.NewName).
 		exactly("public key", r.PublicKey, publicKeyBytes).
-		that(r.ChangeID != "", "change ID is empty").
-		optional("change ID", r.ChangeID, MaxChangeID).
+		changeID(r.ChangeID).
 		name("author", r.Author).
 		optional("reason", r.Reason, MaxReason).
 		err
--- a/internal/protocol/control/control.go
+++ b/internal/protocol/control/control.go
@@ -62,6 +62,8 @@
 )
 
 const (
+	// maxElements bounds the lists and maps of a message. The longest lists are
+	// the renewals of a batch and the instances of a status reply.
 	maxElements = 1 << 13
 	maxNesting  = 8
 )
@@ -142,6 +144,15 @@
 	return l.that(len(value) <= limit, "%s has %d bytes, at most %d are allowed", field, len(value), limit)
 }
 
+func (l *limits) changeID(value string) *limits {
+	return l.that(value != "", "change ID is empty").optional("change ID", value, MaxChangeID)
+}
+
+// optionalDigest allows a digest to be absent, as before the first document.
+func (l *limits) optionalDigest(value []byte) *limits {
+	return l.that(len(value) == 0 || len(value) == digestBytes, "digest has %d bytes", len(value))
+}
+
 func (l *limits) exactly(field string, value []byte, size int) *limits {
 	return l.that(len(value) == size, "%s has %d bytes instead of %d", field, len(value), size)
 }
--- a/internal/protocol/control/operator.go
+++ b/internal/protocol/control/operator.go
@@ -58,7 +58,7 @@
 	limits := check("status reply").
 		optional("environment", s.Environment, MaxName).
 		optional("leader", s.Leader, MaxName).
-		that(len(s.Digest) == 0 || len(s.Digest) == digestBytes, "digest has %d bytes", len(s.Digest)).
+		optionalDigest(s.Digest).
 		atMost("instances", len(s.Instances), MaxInstances)
 	if s.Pending != nil {
 		limits = s.Pending.limits(limits)
