Remove exported functions that nothing calls

No program or test uses rollout.Publisher.Subscribers and Environment, retry.Budget.Tokens, document.Decision.Valid and datagram.Sealer, and datagram.Opener had one implementation. Without Subscribers a publisher needs no table of cursors and a cursor no atomic counters, and Serve no peer. The counters that tests read are kept. The tests of the four packages pass under the race detector.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -114,9 +114,6 @@
 	return true
 }
 
-// Tokens returns the number of retries that the budget allows now.
-func (b *Budget) Tokens() int { return int(b.tokens / tokenUnit) }
-
 // Decide tells whether the request of an ended attempt may be tried again. It
 // takes a token only if everything else allows the retry.
 func (b *Budget) Decide(now time.Time, attempt Attempt, random *rand.Rand) Decision {
--- a/internal/coordination/rollout/cursor.go
+++ b/internal/coordination/rollout/cursor.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"sync/atomic"
 	"time"
 
 	"jayspindle/internal/protocol/control"
@@ -9,15 +8,13 @@
 )
 
 // Cursor decides what one subscriber gets next. It is not safe for concurrent
-// use, but for its counters.
+// use.
 type Cursor struct {
 	position    view.Position
 	digest      uint64
 	heartbeatAt time.Time
-
-	bytes  atomic.Uint64
-	deltas atomic.Uint64
-	fulls  atomic.Uint64
+	deltas      uint64 // sent so far
+	fullViews   uint64 // sent so far
 }
 
 // NewCursor returns the cursor of a new subscription.
@@ -39,10 +36,6 @@
 		updates = [][]byte{heartbeat(now, snapshot)}
 	}
 
-	for _, update := range updates {
-		c.bytes.Add(uint64(len(update)))
-	}
-
 	return updates
 }
 
@@ -61,7 +54,7 @@
 	}
 
 	c.position, c.digest = current.Position(), current.Digest()
-	c.fulls.Add(1)
+	c.fullViews++
 
 	return snapshot.full()
 }
@@ -74,7 +67,7 @@
 		c.position, c.digest = step.to, step.toDigest
 	}
 
-	c.deltas.Add(uint64(len(steps)))
+	c.deltas += uint64(len(steps))
 
 	return updates
 }
@@ -82,14 +75,11 @@
 // Due returns when the next heartbeat is due.
 func (c *Cursor) Due() time.Time { return c.heartbeatAt }
 
-// Bytes returns the bytes of the updates so far.
-func (c *Cursor) Bytes() uint64 { return c.bytes.Load() }
-
 // Deltas returns the number of deltas so far.
-func (c *Cursor) Deltas() uint64 { return c.deltas.Load() }
+func (c *Cursor) Deltas() uint64 { return c.deltas }
 
 // FullViews returns the number of full views so far.
-func (c *Cursor) FullViews() uint64 { return c.fulls.Load() }
+func (c *Cursor) FullViews() uint64 { return c.fullViews }
 
 func heartbeat(now time.Time, snapshot *Snapshot) []byte {
 	update := control.Update{
--- a/internal/coordination/rollout/publisher.go
+++ b/internal/coordination/rollout/publisher.go
@@ -1,9 +1,7 @@
 package rollout
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,15 +25,6 @@
 	pending     *view.View
 	publishedAt time.Time
 	changed     chan struct{}
-	subscribers map[*Cursor]identity.Identity
-}
-
-// Subscriber describes one subscription.
-type Subscriber struct {
-	Peer      identity.Identity
-	Bytes     uint64
-	Deltas    uint64
-	FullViews uint64
 }
 
 // New returns a publisher without a view.
@@ -44,13 +33,9 @@
 		environment: environment,
 		snapshot:    &Snapshot{},
 		changed:     make(chan struct{}),
-		subscribers: make(map[*Cursor]identity.Identity),
 	}
 }
 
-// Environment returns the environment whose views are published.
-func (p *Publisher) Environment() string { return p.environment }
-
 // Apply publishes a view, or keeps it for a later Tick if the last
 // publication is less than CoalesceInterval ago. A view that is not newer is
 // ignored, except for a repair at the same position.
@@ -119,40 +104,11 @@
 	return p.snapshot, p.changed
 }
 
-// Subscribers describes the present subscriptions.
-func (p *Publisher) Subscribers() []Subscriber {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-
-	list := make([]Subscriber, 0, len(p.subscribers))
-	for cursor, peer := range p.subscribers {
-		list = append(list, Subscriber{
-			Peer: peer, Bytes: cursor.Bytes(), Deltas: cursor.Deltas(), FullViews: cursor.FullViews(),
-		})
-	}
-
-	slices.SortFunc(list, func(a, b Subscriber) int { return cmp.Compare(a.Peer.String(), b.Peer.String()) })
-
-	return list
-}
-
 // Serve sends updates to one subscriber until ctx ends or send fails. The
 // items are encoded control.Update messages.
-func (p *Publisher) Serve(
-	ctx context.Context, peer identity.Identity, watch control.Watch, send func(cbor.RawMessage) error,
-) error {
+func (p *Publisher) Serve(ctx context.Context, watch control.Watch, send func(cbor.RawMessage) error) error {
 	cursor := NewCursor(watch)
 
-	p.mutex.Lock()
-	p.subscribers[cursor] = peer
-	p.mutex.Unlock()
-
-	defer func() {
-		p.mutex.Lock()
-		delete(p.subscribers, cursor)
-		p.mutex.Unlock()
-	}()
-
 	for ctx.Err() == nil {
 		snapshot, changed := p.Snapshot()
 		updates := cursor.Next(time.Now(), snapshot)
@@ -212,7 +168,7 @@
 			return link.NewError(link.KindDenied, errors.Trace(err))
 		}
 
-		return publisher.Serve(ctx, link.Peer(ctx), watch, func(update cbor.RawMessage) error { return send(update) })
+		return publisher.Serve(ctx, watch, func(update cbor.RawMessage) error { return send(update) })
 	}
 }
 
--- a/internal/coordination/rollout/subscribe_test.go
+++ b/internal/coordination/rollout/subscribe_test.go
@@ -13,7 +13,6 @@
 	"jayspindle/internal/coordination/rollout"
 	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/state/view"
-	"jayspindle/internal/transport/identity"
 )
 
 // upstream serves a publisher without a network.
@@ -26,7 +25,7 @@
 	u.watches++
 	served := &updates{items: make(chan cbor.RawMessage), ctx: ctx}
 
-	go u.publisher.Serve(ctx, identity.Identity{}, watch, func(item cbor.RawMessage) error {
+	go u.publisher.Serve(ctx, watch, func(item cbor.RawMessage) error {
 		select {
 		case served.items <- item:
 			return nil
--- a/internal/protocol/datagram/datagram.go
+++ b/internal/protocol/datagram/datagram.go
@@ -97,16 +97,6 @@
 	return reasonNames[r]
 }
 
-// Sealer writes headers.
-type Sealer interface {
-	Seal(buffer []byte, header *Header)
-}
-
-// Opener verifies and reads headers.
-type Opener interface {
-	Open(received []byte, header *Header) Reason
-}
-
 // secret is a SipHash key.
 type secret struct{ k0, k1 uint64 }
 
--- a/internal/protocol/datagram/datagram_test.go
+++ b/internal/protocol/datagram/datagram_test.go
@@ -44,7 +44,7 @@
 	return buffer
 }
 
-func assertOpens(t *testing.T, opener datagram.Opener, buffer []byte, want datagram.Header) {
+func assertOpens(t *testing.T, opener *datagram.Keys, buffer []byte, want datagram.Header) {
 	t.Helper()
 
 	var got datagram.Header
@@ -53,7 +53,7 @@
 	is.New(t).Equal(got, want)
 }
 
-func assertRefused(t *testing.T, opener datagram.Opener, buffer []byte, want datagram.Reason) {
+func assertRefused(t *testing.T, opener *datagram.Keys, buffer []byte, want datagram.Reason) {
 	t.Helper()
 
 	var got datagram.Header
--- a/internal/state/document/sign.go
+++ b/internal/state/document/sign.go
@@ -17,9 +17,6 @@
 	Reject Decision = "reject"
 )
 
-// Valid reports whether the decision is one of the two.
-func (d Decision) Valid() bool { return d == Accept || d == Reject }
-
 // SignedText returns the text that an owner signs: a fixed first line,
 // environment, version, digest in hexadecimal and decision, one per line. All
 // are in it, so that a signature is void for any other change.
