--- a/internal/state/catalog/decide.go
+++ b/internal/state/catalog/decide.go
@@ -106,13 +106,13 @@
 // assertAcceptable checks what no accepted change may lack.
 func (c *Catalog) assertAcceptable(ledger *ledger) {
 	pending := ledger.pending
-	first, second := pending.Signatures[0], pending.Signatures[1]
+	signatures := pending.Signatures
 
-	invariant.Assert(len(pending.Signatures) == 2 &&
-		first.Owner != second.Owner && !bytes.Equal(first.Key, second.Key),
+	invariant.Assert(len(signatures) == 2 &&
+		signatures[0].Owner != signatures[1].Owner && !bytes.Equal(signatures[0].Key, signatures[1].Key),
 		"catalog: an acceptance has the signatures of two owners", slog.String("change", pending.ID))
 
-	for _, signature := range pending.Signatures {
+	for _, signature := range signatures {
 		invariant.Assert(c.signed(ledger, signature),
 			"catalog: an acceptance has two valid signatures", slog.String("owner", signature.Owner))
 	}
--- a/internal/state/catalog/snapshot.go
+++ b/internal/state/catalog/snapshot.go
@@ -50,31 +50,18 @@
 // Snapshot encodes the state. Equal states have equal bytes. The bytes hold
 // the fabric secrets.
 func (c *Catalog) Snapshot() ([]byte, error) {
-	numbers := map[*chunk]uint32{}
+	chunks := chunkTable{numbers: map[*chunk]uint32{}}
 	state := snapshot{
 		Format: snapshotFormat, Cluster: c.cluster, Generation: c.generation, Index: c.index,
 		Owners: c.owners, Answers: c.answers.order,
 	}
 
-	number := func(t text) []uint32 {
-		places := make([]uint32, 0, len(t))
-
-		for _, part := range t {
-			if _, ok := numbers[part]; !ok {
-				numbers[part] = uint32(len(state.Chunks))
-				state.Chunks = append(state.Chunks, []byte(part.data))
-			}
-
-			places = append(places, numbers[part])
-		}
-
-		return places
-	}
-
 	for _, name := range []string{Trial, Production, Owners} {
-		state.Ledgers = append(state.Ledgers, c.ledgers[name].state(number))
+		state.Ledgers = append(state.Ledgers, c.ledgers[name].state(&chunks))
 	}
 
+	state.Chunks = chunks.data
+
 	for _, name := range []string{Trial, Production} {
 		state.Environments = append(state.Environments, c.environments[name].state())
 	}
@@ -87,10 +74,35 @@
 	return encoded, nil
 }
 
-func (l *ledger) state(number func(text) []uint32) ledgerState {
+// chunkTable numbers the chunks of a snapshot, so that documents that share a
+// chunk store it once.
+type chunkTable struct {
+	numbers map[*chunk]uint32
+	data    [][]byte // by number
+}
+
+// add returns the numbers of the chunks of a text.
+func (c *chunkTable) add(t text) []uint32 {
+	numbers := make([]uint32, 0, len(t))
+
+	for _, part := range t {
+		number, ok := c.numbers[part]
+		if !ok {
+			number = uint32(len(c.data))
+			c.numbers[part] = number
+			c.data = append(c.data, []byte(part.data))
+		}
+
+		numbers = append(numbers, number)
+	}
+
+	return numbers
+}
+
+func (l *ledger) state(chunks *chunkTable) ledgerState {
 	store := func(c *change) *change {
 		stored := *c
-		stored.Chunks = number(c.text)
+		stored.Chunks = chunks.add(c.text)
 
 		return &stored
 	}
