Name internal things after what they are

Names such as cut, found, parsed, above, fill, following, listed, spare and whole had to be looked up. They are splitChunks, recordOf, parsedDocument, aboveAll, assign, bestBelow, fallbacks, fallbackCursor and needsFull now. The constants for backoff, resends, service time estimates and the bounds that repeat those of control say what they follow from; these figures are calculated from the code, not measured. The tests of internal/state and internal/coordination pass under the race detector.

--- a/internal/coordination/admission/estimate.go
+++ b/internal/coordination/admission/estimate.go
@@ -6,7 +6,7 @@
 	meanGain      = 0.125 // gains of RFC 6298
 	deviationGain = 0.25
 	likelyFactor  = 2
-	upperFactor   = 4
+	upperFactor   = 4 // the factor K of RFC 6298
 
 	// initialService is assumed before the first observation. It is short, so
 	// that an unknown class is tried and not refused.
--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -18,7 +18,9 @@
 	HandOverLimit = 5 * time.Second
 	// closeTimeout is how long a claimant repeats its last messages.
 	closeTimeout = 5 * time.Second
-	resendEvery  = 100 * time.Millisecond
+	// resendEvery is the time between two copies of a message, so that a holder
+	// gets up to ten within ClaimTimeout.
+	resendEvery = 100 * time.Millisecond
 )
 
 // Verdict is what a claimant decided.
--- a/internal/coordination/forward/paths.go
+++ b/internal/coordination/forward/paths.go
@@ -27,13 +27,13 @@
 
 // paths selects a balancer for each reply. It belongs to one goroutine.
 type paths struct {
-	all    []path
-	places map[view.Incarnation]int32
-	active []int32 // places of the paths heard from lately
-	cursor int
-	listed []int32 // places of the paths used while none is active
-	spare  int
-	last   [callerSlots]view.Incarnation
+	all            []path
+	places         map[view.Incarnation]int32
+	active         []int32 // places of the paths heard from lately
+	cursor         int
+	fallbacks      []int32 // places of the paths used while none is active
+	fallbackCursor int
+	last           [callerSlots]view.Incarnation
 }
 
 func newPaths() *paths { return &paths{places: make(map[view.Incarnation]int32)} }
@@ -56,19 +56,19 @@
 		p.add(made)
 	}
 
-	p.list()
+	p.listFallbacks()
 }
 
-// list selects the paths for times when no balancer was heard from.
-func (p *paths) list() {
+// listFallbacks selects the paths for times when no balancer was heard from.
+func (p *paths) listFallbacks() {
 	for _, draining := range []bool{false, true} {
 		for place := range p.all {
 			if p.all[place].draining == draining {
-				p.listed = append(p.listed, int32(place))
+				p.fallbacks = append(p.fallbacks, int32(place))
 			}
 		}
 
-		if len(p.listed) > 0 {
+		if len(p.fallbacks) > 0 {
 			return
 		}
 	}
@@ -170,19 +170,19 @@
 
 // fallback rotates over the balancers of the view.
 func (p *paths) fallback(last *view.Incarnation) (path, bool) {
-	if len(p.listed) == 0 {
+	if len(p.fallbacks) == 0 {
 		return path{}, false
 	}
 
 	for range 2 {
-		p.spare = (p.spare + 1) % len(p.listed)
+		p.fallbackCursor = (p.fallbackCursor + 1) % len(p.fallbacks)
 
-		if p.all[p.listed[p.spare]].incarnation != *last {
+		if p.all[p.fallbacks[p.fallbackCursor]].incarnation != *last {
 			break
 		}
 	}
 
-	chosen := p.all[p.listed[p.spare]]
+	chosen := p.all[p.fallbacks[p.fallbackCursor]]
 	*last = chosen.incarnation
 
 	return chosen, true
--- a/internal/coordination/raft/membership.go
+++ b/internal/coordination/raft/membership.go
@@ -172,7 +172,7 @@
 		return 0, 0, newError(operation, KindInProgress, "change at index %d is not committed", n.members.lastIndex())
 	}
 
-	members, err := n.changed(change)
+	members, err := n.membersAfter(change)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -189,8 +189,8 @@
 	return n.appendOwn(wal.EntryMembership, encoded), n.term, nil
 }
 
-// changed returns the membership that a change leads to.
-func (n *Node) changed(change Change) ([]Member, error) {
+// membersAfter returns the membership that a change leads to.
+func (n *Node) membersAfter(change Change) ([]Member, error) {
 	const operation = "change membership"
 
 	members := slices.Clone(n.members.current())
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -33,6 +33,9 @@
 	// deposits add up without rounding errors.
 	tokenUnit = 1000
 
+	// The waits before the three retries are below 10, 20 and 40 ms, so that they
+	// leave most of a deadline of 2 s. maxBackoff bounds them only if maxAttempts
+	// is raised to 9 or more.
 	baseBackoff = 10 * time.Millisecond
 	maxBackoff  = time.Second
 	maxAttempts = 4
--- a/internal/coordination/rollout/follower.go
+++ b/internal/coordination/rollout/follower.go
@@ -17,9 +17,9 @@
 	environment string
 	current     *view.View
 	confirmedAt time.Time
-	// whole asks for a full view, because the one held proved wrong.
-	whole    bool
-	assembly assembly
+	// needsFull asks for a full view, because the one held proved wrong.
+	needsFull bool
+	assembly  assembly
 }
 
 // assembly collects the chunks of one full view.
@@ -52,7 +52,7 @@
 	f.assembly = assembly{}
 
 	watch := control.Watch{Environment: f.environment}
-	if f.current != nil && !f.whole {
+	if f.current != nil && !f.needsFull {
 		watch.Position, watch.Digest = f.current.Position(), f.current.Digest()
 	}
 
@@ -86,7 +86,7 @@
 	}
 
 	if update.Digest != f.current.Digest() {
-		f.whole = true
+		f.needsFull = true
 
 		return newError("check heartbeat", KindDigest,
 			errors.Errorf("digest at %s is %016x, the publisher's is %016x",
@@ -111,7 +111,7 @@
 
 	var delta view.Delta
 	if err := cbor.Unmarshal(update.Bytes, &delta); err != nil {
-		f.whole = true
+		f.needsFull = true
 
 		return false, newError("apply delta", KindEncoding, err)
 	}
@@ -175,7 +175,7 @@
 	}
 
 	if next.Position() != update.Position || next.Digest() != update.Digest {
-		f.whole = true
+		f.needsFull = true
 
 		return false, newError("replace view", KindDigest,
 			errors.Errorf("view has %016x at %s, the publisher's has %016x at %s",
@@ -186,7 +186,7 @@
 		invariant.Assert(!next.Position().Less(f.current.Position()), "rollout: the applied position never falls")
 	}
 
-	f.current, f.whole = next, false
+	f.current, f.needsFull = next, false
 
 	return true, nil
 }
--- a/internal/coordination/routing/rendezvous.go
+++ b/internal/coordination/routing/rendezvous.go
@@ -14,8 +14,8 @@
 	place int
 }
 
-// above orders before every score of a member.
-var above = score{value: math.Inf(1), place: -1}
+// aboveAll orders before every score of a member.
+var aboveAll = score{value: math.Inf(1), place: -1}
 
 // less reports whether s ranks behind other.
 func (s score) less(other score) bool {
@@ -51,10 +51,10 @@
 	return x ^ x>>31
 }
 
-// fill returns the owner of each bucket: the member with the best score that
+// assign returns the owner of each bucket: the member with the best score that
 // has not reached its limit (consistent hashing with bounded loads; Mirrokni,
 // Thorup and Zadimoghaddam, 2018).
-func fill(members []member, count int) []uint16 {
+func assign(members []member, count int) []uint16 {
 	owners := make([]uint16, count)
 	left := limits(members, count)
 
@@ -120,9 +120,9 @@
 	return chosen
 }
 
-// following returns the member with the best score below bound, other than
+// bestBelow returns the member with the best score below bound, other than
 // the owner. There must be one.
-func following(members []member, owner int, bucket uint64, bound score) score {
+func bestBelow(members []member, owner int, bucket uint64, bound score) score {
 	top := score{value: -1}
 
 	for place := range members {
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -175,7 +175,7 @@
 func newBuckets(agents []view.Agent, count int) *buckets {
 	members := eligible(agents)
 
-	return &buckets{members: members, owners: fill(members, count), mask: uint64(count - 1)}
+	return &buckets{members: members, owners: assign(members, count), mask: uint64(count - 1)}
 }
 
 // matches reports whether the buckets of these agents would be the same.
@@ -210,9 +210,9 @@
 		return b.members[owner].incarnation
 	}
 
-	bound := above
+	bound := aboveAll
 	for range rank {
-		bound = following(b.members, owner, bucket, bound)
+		bound = bestBelow(b.members, owner, bucket, bound)
 	}
 
 	return b.members[bound.place].incarnation
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -61,11 +61,12 @@
 	ledgers      map[string]*ledger
 	environments map[string]*environment
 	answers      answers
-	parsed       [2]parsed // of the documents parsed last, the later one first
+	parsed       [2]parsedDocument // the last two, the later one first
 }
 
-// parsed caches the services of a document. It has no influence on results.
-type parsed struct {
+// parsedDocument caches the services of a document. It has no influence on
+// results.
+type parsedDocument struct {
 	digest   [32]byte
 	services []view.Service
 }
@@ -155,9 +156,9 @@
 		return c.decide(at, Sign(*command.Reject), document.Reject)
 	}
 
-	environment, ok := c.environments[command.member()]
+	environment, ok := c.environments[command.environment()]
 	if !ok {
-		return refuse(KindInvalid, "found environment %q, allowed: %s, %s", command.member(), Trial, Production), false
+		return refuse(KindInvalid, "found environment %q, allowed: %s, %s", command.environment(), Trial, Production), false
 	}
 
 	var (
@@ -186,8 +187,8 @@
 	return result, changed
 }
 
-// member returns the environment of a command about members or keys.
-func (c Command) member() string {
+// environment returns the environment of a command about members or keys.
+func (c Command) environment() string {
 	switch {
 	case c.Announce != nil:
 		return c.Announce.Environment
@@ -276,7 +277,7 @@
 		return Record{}, false
 	}
 
-	return found(environment, ledger.byID(changeID))
+	return recordOf(environment, ledger.byID(changeID))
 }
 
 // ExplainVersion returns the change that was accepted as the given version.
@@ -286,10 +287,11 @@
 		return Record{}, false
 	}
 
-	return found(environment, ledger.accepted(version))
+	return recordOf(environment, ledger.accepted(version))
 }
 
-func found(environment string, change *change) (Record, bool) {
+// recordOf returns the record of a change, and false if the change is nil.
+func recordOf(environment string, change *change) (Record, bool) {
 	if change == nil {
 		return Record{}, false
 	}
--- a/internal/state/catalog/chunk.go
+++ b/internal/state/catalog/chunk.go
@@ -13,7 +13,7 @@
 // chunking as in Muthitacharoen, Chen, Mazières, "A Low-bandwidth Network
 // File System", SOSP 2001), so an inserted line changes one chunk only.
 const (
-	chunkLines    = 16
+	chunkLines    = 16 // mean number of lines in a chunk, before the bounds in bytes
 	minChunkBytes = 512
 	maxChunkBytes = 8 << 10
 )
@@ -23,8 +23,8 @@
 // text is the content of a document.
 type text []*chunk
 
-// cut returns data as chunks, and uses the chunks of earlier texts again.
-func cut(data []byte, earlier ...text) text {
+// splitChunks returns data as chunks, and uses the chunks of earlier texts again.
+func splitChunks(data []byte, earlier ...text) text {
 	known := make(map[string]*chunk)
 
 	for _, t := range earlier {
--- a/internal/state/catalog/race_test.go
+++ b/internal/state/catalog/race_test.go
@@ -231,7 +231,7 @@
 	}
 
 	command.Time = 0
-	contents := contentsOf(command)
+	contents := hashCommand(command)
 
 	if first, ok := w.answers[contents]; ok {
 		is.New(w.t).Equal(result, first) // first answer
--- a/internal/state/catalog/submit.go
+++ b/internal/state/catalog/submit.go
@@ -10,6 +10,8 @@
 	"jayspindle/internal/state/view"
 )
 
+// These bounds equal control.MaxChangeID and control.MaxReason, which this
+// lower layer cannot import.
 const (
 	maxIDBytes     = 64
 	maxReasonBytes = 1024
@@ -52,7 +54,7 @@
 		author:      command.Author,
 		reason:      command.Reason,
 		digest:      document.Digest(command.Document),
-		contents:    contentsOf(command),
+		contents:    hashCommand(command),
 	}, func() (text, *Result) { return c.checkDocument(command.Environment, command.Document) })
 }
 
@@ -64,7 +66,7 @@
 		author:      command.Author,
 		reason:      command.Reason,
 		digest:      command.Digest,
-		contents:    contentsOf(command),
+		contents:    hashCommand(command),
 	}, func() (text, *Result) {
 		trial := c.ledgers[Trial].acceptedDigest(command.Digest)
 		if trial == nil || trial.text == nil {
@@ -78,9 +80,9 @@
 	})
 }
 
-// contentsOf hashes a command, to detect that a change ID is used again for
+// hashCommand hashes a command, to detect that a change ID is used again for
 // another change.
-func contentsOf(command any) [32]byte {
+func hashCommand(command any) [32]byte {
 	encoded, err := canonical.Marshal(command)
 	if err != nil {
 		panic(err) // commands are plain values, and this one was decoded
@@ -206,7 +208,7 @@
 		return nil, &refusal
 	}
 
-	return cut(data, c.ledgers[Trial].latestText(), c.ledgers[Production].latestText(), c.pendingText(Trial)), nil
+	return splitChunks(data, c.ledgers[Trial].latestText(), c.ledgers[Production].latestText(), c.pendingText(Trial)), nil
 }
 
 // checkRejected refuses bytes that were rejected as the same version. A
@@ -240,13 +242,13 @@
 		}
 	}
 
-	parsedDocument, err := document.Parse("document", data)
+	fresh, err := document.Parse("document", data)
 	if err != nil {
 		return nil, err
 	}
 
 	c.parsed[1] = c.parsed[0]
-	c.parsed[0] = parsed{digest: digest, services: parsedDocument.Services()}
+	c.parsed[0] = parsedDocument{digest: digest, services: fresh.Services()}
 
 	return c.parsed[0].services, nil
 }
@@ -262,7 +264,7 @@
 		author:      command.Author,
 		reason:      command.Reason,
 		digest:      digest,
-		contents:    contentsOf(command),
+		contents:    hashCommand(command),
 	}, func() (text, *Result) {
 		if refusal := c.ledgers[Owners].checkRejected(digest); refusal != nil {
 			return nil, refusal
@@ -274,7 +276,7 @@
 			return nil, &refusal
 		}
 
-		return cut(replacement), nil
+		return splitChunks(replacement), nil
 	})
 }
 
