--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -33,6 +33,9 @@
 	// deposits add up without rounding errors.
 	tokenUnit = 1000
 
+	// The waits before the three retries are below 10, 20 and 40 ms, so that they
+	// leave most of a deadline of 2 s. maxBackoff bounds them only if maxAttempts
+	// is raised to 9 or more.
 	baseBackoff = 10 * time.Millisecond
 	maxBackoff  = time.Second
 	maxAttempts = 4
@@ -114,9 +117,6 @@
 	return true
 }
 
-// Tokens returns the number of retries that the budget allows now.
-func (b *Budget) Tokens() int { return int(b.tokens / tokenUnit) }
-
 // Decide tells whether the request of an ended attempt may be tried again. It
 // takes a token only if everything else allows the retry.
 func (b *Budget) Decide(now time.Time, attempt Attempt, random *rand.Rand) Decision {
