Share the steps of subcommands that run a process

Five subcommands repeated the same steps: check the settings flag, load the file, start telemetry, run, report the error. Sign and reject differed in the decision and in one call only. The steps are in process.execute and signature.decide now; flags, messages and exit statuses are the same. The tests of internal/cli pass under the race detector and the linter reports nothing.

--- a/internal/cli/cmd/agent.go
+++ b/internal/cli/cmd/agent.go
@@ -11,7 +11,7 @@
 	"jayspindle/internal/state/settings"
 )
 
-type agentCommand struct{ settings string }
+type agentCommand struct{ settingsFlag }
 
 func (*agentCommand) Name() string { return "agent" }
 
@@ -25,34 +25,19 @@
 `
 }
 
-func (c *agentCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&c.settings, "settings", "", "YAML settings `file`")
-}
-
 func (c *agentCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" {
-		return usage("agent: -settings is missing")
-	}
-
-	config, err := settings.Load[agent.Settings](c.settings)
-	if err != nil {
-		return fail(err)
-	}
-
-	observed, err := telemetry.New(config.Telemetry, "agent", config.Instance)
-	if err != nil {
-		return fail(err)
-	}
-	defer observed.Close(context.WithoutCancel(ctx))
-
-	program, err := agent.New(*config, observed)
-	if err != nil {
-		return fail(err)
-	}
-
-	if err := program.Run(ctx); err != nil {
-		return fail(err)
-	}
-
-	return exitOK
+	return process[agent.Settings]{
+		name: "agent",
+		observe: func(config *agent.Settings) (telemetry.Settings, settings.Instance) {
+			return config.Telemetry, config.Instance
+		},
+		run: func(ctx context.Context, config *agent.Settings, observed *telemetry.Telemetry) error {
+			program, err := agent.New(*config, observed)
+			if err != nil {
+				return err
+			}
+
+			return program.Run(ctx)
+		},
+	}.execute(ctx, c.settings)
 }
--- a/internal/cli/cmd/backend.go
+++ b/internal/cli/cmd/backend.go
@@ -11,7 +11,7 @@
 	"jayspindle/internal/state/settings"
 )
 
-type backendCommand struct{ settings string }
+type backendCommand struct{ settingsFlag }
 
 func (*backendCommand) Name() string { return "backend" }
 
@@ -24,38 +24,23 @@
 `
 }
 
-func (c *backendCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&c.settings, "settings", "", "YAML settings `file`")
-}
-
 func (c *backendCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" {
-		return usage("backend: -settings is missing")
-	}
-
-	config, err := settings.Load[backend.Settings](c.settings)
-	if err != nil {
-		return fail(err)
-	}
-
-	observed, err := telemetry.New(config.Telemetry, "backend", config.Instance)
-	if err != nil {
-		return fail(err)
-	}
-	defer observed.Close(context.WithoutCancel(ctx))
-
-	ledger, err := backend.NewLedger(config.Ledger)
-	if err != nil {
-		return fail(err)
-	}
-
-	if err := backend.New(*config, ledger, observed.Logger(), observed.Tracer()).Run(ctx); err != nil {
-		return fail(err)
-	}
-
-	if err := ledger.Close(); err != nil {
-		return fail(err)
-	}
-
-	return exitOK
+	return process[backend.Settings]{
+		name: "backend",
+		observe: func(config *backend.Settings) (telemetry.Settings, settings.Instance) {
+			return config.Telemetry, config.Instance
+		},
+		run: func(ctx context.Context, config *backend.Settings, observed *telemetry.Telemetry) error {
+			ledger, err := backend.NewLedger(config.Ledger)
+			if err != nil {
+				return err
+			}
+
+			if err := backend.New(*config, ledger, observed.Logger(), observed.Tracer()).Run(ctx); err != nil {
+				return err
+			}
+
+			return ledger.Close()
+		},
+	}.execute(ctx, c.settings)
 }
--- a/internal/cli/cmd/balancer.go
+++ b/internal/cli/cmd/balancer.go
@@ -11,7 +11,7 @@
 	"jayspindle/internal/state/settings"
 )
 
-type balancerCommand struct{ settings string }
+type balancerCommand struct{ settingsFlag }
 
 func (*balancerCommand) Name() string { return "balancer" }
 
@@ -25,34 +25,19 @@
 `
 }
 
-func (c *balancerCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&c.settings, "settings", "", "YAML settings `file`")
-}
-
 func (c *balancerCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" {
-		return usage("balancer: -settings is missing")
-	}
-
-	config, err := settings.Load[balancer.Settings](c.settings)
-	if err != nil {
-		return fail(err)
-	}
-
-	observed, err := telemetry.New(config.Telemetry, "balancer", config.Instance)
-	if err != nil {
-		return fail(err)
-	}
-	defer observed.Close(context.WithoutCancel(ctx))
-
-	program, err := balancer.New(*config, observed)
-	if err != nil {
-		return fail(err)
-	}
-
-	if err := program.Run(ctx); err != nil {
-		return fail(err)
-	}
-
-	return exitOK
+	return process[balancer.Settings]{
+		name: "balancer",
+		observe: func(config *balancer.Settings) (telemetry.Settings, settings.Instance) {
+			return config.Telemetry, config.Instance
+		},
+		run: func(ctx context.Context, config *balancer.Settings, observed *telemetry.Telemetry) error {
+			program, err := balancer.New(*config, observed)
+			if err != nil {
+				return err
+			}
+
+			return program.Run(ctx)
+		},
+	}.execute(ctx, c.settings)
 }
--- a/internal/cli/cmd/controller.go
+++ b/internal/cli/cmd/controller.go
@@ -13,7 +13,7 @@
 	"jayspindle/internal/transport/identity"
 )
 
-type controllerCommand struct{ settings string }
+type controllerCommand struct{ settingsFlag }
 
 // controllerSettings adds to the settings of the controller what all programs have.
 type controllerSettings struct {
@@ -38,36 +38,23 @@
 `
 }
 
-func (c *controllerCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&c.settings, "settings", "", "YAML settings `file`")
-}
-
 func (c *controllerCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" {
-		return usage("controller: -settings is missing")
-	}
-
-	config, err := settings.Load[controllerSettings](c.settings)
-	if err != nil {
-		return fail(err)
-	}
-
-	observed, err := telemetry.New(config.Telemetry, "controller", config.instance())
-	if err != nil {
-		return fail(err)
-	}
-	defer observed.Close(context.WithoutCancel(ctx))
-
-	process, err := controller.New(config.Settings, observed.Logger(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if err != nil {
-		return fail(err)
-	}
-
-	observed.SetReady(true)
-
-	if err := process.Run(ctx); err != nil {
-		return fail(err)
-	}
-
-	return exitOK
+	return process[controllerSettings]{
+		name: "controller",
+		observe: func(config *controllerSettings) (telemetry.Settings, settings.Instance) {
+			return config.Telemetry, config.instance()
+		},
+		run: func(ctx context.Context, config *controllerSettings, observed *telemetry.Telemetry) error {
+			random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+
+			program, err := controller.New(config.Settings, observed.Logger(), random)
+			if err != nil {
+				return err
+			}
+
+			observed.SetReady(true)
+
+			return program.Run(ctx)
+		},
+	}.execute(ctx, c.settings)
 }
--- a/internal/cli/cmd/load.go
+++ b/internal/cli/cmd/load.go
@@ -13,8 +13,8 @@
 )
 
 type loadCommand struct {
-	settings string
-	json     bool
+	settingsFlag
+	json bool
 }
 
 func (*loadCommand) Name() string { return "load" }
@@ -32,48 +32,43 @@
 }
 
 func (c *loadCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&c.settings, "settings", "", "YAML settings `file`")
+	c.settingsFlag.SetFlags(flags)
 	flags.BoolVar(&c.json, "json", false, "print JSON instead of tables")
 }
 
 func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" {
-		return usage("load: -settings is missing")
-	}
-
-	config, err := settings.Load[load.Settings](c.settings)
-	if err != nil {
-		return fail(err)
-	}
-
-	observed, err := telemetry.New(config.Telemetry, "load", config.Instance)
-	if err != nil {
-		return fail(err)
-	}
-	defer observed.Close(context.WithoutCancel(ctx))
-
-	client, err := load.New(*config, observed.Logger(), observed.Tracer())
-	if err != nil {
-		return fail(err)
+	var result *load.Result
+
+	status := process[load.Settings]{
+		name: "load",
+		observe: func(config *load.Settings) (telemetry.Settings, settings.Instance) {
+			return config.Telemetry, config.Instance
+		},
+		run: func(ctx context.Context, config *load.Settings, observed *telemetry.Telemetry) error {
+			client, err := load.New(*config, observed.Logger(), observed.Tracer())
+			if err != nil {
+				return err
+			}
+
+			if result, err = client.Run(ctx); err != nil {
+				return err
+			}
+
+			return c.write(result)
+		},
+	}.execute(ctx, c.settings)
+
+	if status == exitOK && !result.Kept() {
+		return exitCheck
 	}
 
-	result, err := client.Run(ctx)
-	if err != nil {
-		return fail(err)
-	}
+	return status
+}
 
-	write := result.WriteTable
+func (c *loadCommand) write(result *load.Result) error {
 	if c.json {
-		write = result.WriteJSON
-	}
-
-	if err := write(os.Stdout); err != nil {
-		return fail(err)
-	}
-
-	if !result.Kept() {
-		return exitCheck
+		return result.WriteJSON(os.Stdout)
 	}
 
-	return exitOK
+	return result.WriteTable(os.Stdout)
 }
--- /dev/null
+++ b/internal/cli/cmd/program.go
@@ -0,0 +1,52 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"jayspindle/internal/program/telemetry"
+	"jayspindle/internal/state/settings"
+)
+
+// settingsFlag holds the flag of the subcommands that run a process.
+type settingsFlag struct{ settings string }
+
+func (s *settingsFlag) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&s.settings, "settings", "", "YAML settings `file`")
+}
+
+// process describes the process that a subcommand runs with settings S.
+type process[S any] struct {
+	name string
+	// observe returns what telemetry needs to know from the settings.
+	observe func(config *S) (telemetry.Settings, settings.Instance)
+	run     func(ctx context.Context, config *S, observed *telemetry.Telemetry) error
+}
+
+// execute loads the settings file, starts telemetry and runs the process.
+func (p process[S]) execute(ctx context.Context, file string) subcommands.ExitStatus {
+	if file == "" {
+		return usage("%s: -settings is missing", p.name)
+	}
+
+	config, err := settings.Load[S](file)
+	if err != nil {
+		return fail(err)
+	}
+
+	observing, instance := p.observe(config)
+
+	observed, err := telemetry.New(observing, p.name, instance)
+	if err != nil {
+		return fail(err)
+	}
+	defer observed.Close(context.WithoutCancel(ctx))
+
+	if err := p.run(ctx, config, observed); err != nil {
+		return fail(err)
+	}
+
+	return exitOK
+}
--- a/internal/cli/cmd/reject.go
+++ b/internal/cli/cmd/reject.go
@@ -29,20 +29,9 @@
 func (c *rejectCommand) SetFlags(flags *flag.FlagSet) { c.setSignFlags(flags) }
 
 func (c *rejectCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
-		change, signed, err := c.sign(ctx, client, document.Reject)
-		if err != nil {
-			return nil, nil, err
-		}
-
-		reply, err := client.Reject(ctx, control.Reject{
-			Environment: c.environment,
-			Version:     change.Version,
-			Digest:      change.Digest,
-			Owner:       c.owner,
-			Signature:   signed,
-		})
-
-		return reply, showChange(reply), err
+	return c.decide(ctx, document.Reject, func(
+		ctx context.Context, client *controller.Client, signed control.Sign,
+	) (control.ChangeReply, error) {
+		return client.Reject(ctx, control.Reject(signed))
 	})
 }
--- a/internal/cli/cmd/sign.go
+++ b/internal/cli/cmd/sign.go
@@ -29,30 +29,51 @@
 	flags.StringVar(&s.key, "key", "", "private key `file` of the co-owner")
 }
 
-// sign signs the decision on the pending change if it is the document in the file.
+// decide signs the decision on the pending change, which must be the document
+// in the file, and sends it.
+func (s *signature) decide(
+	ctx context.Context, decision document.Decision,
+	send func(ctx context.Context, client *controller.Client, signed control.Sign) (control.ChangeReply, error),
+) subcommands.ExitStatus {
+	return s.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
+		signed, err := s.sign(ctx, client, decision)
+		if err != nil {
+			return nil, nil, err
+		}
+
+		reply, err := send(ctx, client, signed)
+
+		return reply, showChange(reply), err
+	})
+}
+
 func (s *signature) sign(
 	ctx context.Context, client *controller.Client, decision document.Decision,
-) (control.Change, []byte, error) {
+) (control.Sign, error) {
 	data, err := readDocument(s.file)
 	if err != nil {
-		return control.Change{}, nil, err
+		return control.Sign{}, err
 	}
 
 	key, err := identity.LoadKey(s.key)
 	if err != nil {
-		return control.Change{}, nil, err
+		return control.Sign{}, err
 	}
 
 	digest := document.Digest(data)
 
 	change, err := pendingChange(ctx, client, s.environment, digest)
 	if err != nil {
-		return control.Change{}, nil, err
+		return control.Sign{}, err
 	}
 
-	text := document.SignedText(s.environment, change.Version, digest, decision)
-
-	return change, key.SignMessage(text), nil
+	return control.Sign{
+		Environment: s.environment,
+		Version:     change.Version,
+		Digest:      change.Digest,
+		Owner:       s.owner,
+		Signature:   key.SignMessage(document.SignedText(s.environment, change.Version, digest, decision)),
+	}, nil
 }
 
 type signCommand struct{ signature }
@@ -72,20 +93,9 @@
 func (c *signCommand) SetFlags(flags *flag.FlagSet) { c.setSignFlags(flags) }
 
 func (c *signCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
-		change, signed, err := c.sign(ctx, client, document.Accept)
-		if err != nil {
-			return nil, nil, err
-		}
-
-		reply, err := client.Sign(ctx, control.Sign{
-			Environment: c.environment,
-			Version:     change.Version,
-			Digest:      change.Digest,
-			Owner:       c.owner,
-			Signature:   signed,
-		})
-
-		return reply, showChange(reply), err
+	return c.decide(ctx, document.Accept, func(
+		ctx context.Context, client *controller.Client, signed control.Sign,
+	) (control.ChangeReply, error) {
+		return client.Sign(ctx, signed)
 	})
 }
