Use the exported baselines in the tests of measure

The tests held private copies of the queues and placers that the package exports as baselines, so a change of one would not have reached the other. The copies are gone.

--- a/internal/testing/measure/placement_test.go
+++ b/internal/testing/measure/placement_test.go
@@ -1,89 +1,22 @@
 package measure_test
 
 import (
-	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
-	"jayspindle/internal/coordination/placement"
-	"jayspindle/internal/state/view"
 	"jayspindle/internal/testing/measure"
 )
 
-// naive is a baseline placer. choose returns the index of a sibling.
-type naive struct {
-	random   *rand.Rand
-	siblings []view.Incarnation
-	inFlight []int
-	reported []float64
-	turn     int
-	choose   func(n *naive) int
-}
-
-func newNaive(choose func(n *naive) int) func(seed uint64) measure.Placer {
-	return func(seed uint64) measure.Placer {
-		return &naive{random: rand.New(rand.NewPCG(seed, 0)), choose: choose}
-	}
-}
-
-func (n *naive) Update(_ time.Time, agents []view.Agent) {
-	n.siblings = nil
-	for _, agent := range agents {
-		n.siblings = append(n.siblings, agent.Incarnation)
-	}
-
-	n.inFlight = make([]int, len(agents))
-	n.reported = make([]float64, len(agents))
-	n.turn = n.random.IntN(len(agents))
-}
-
-func (n *naive) Pick(time.Time, ...view.Incarnation) (view.Incarnation, bool) {
-	i := n.choose(n)
-	n.inFlight[i]++
-
-	return n.siblings[i], true
-}
-
-func (n *naive) Observe(_ time.Time, incarnation view.Incarnation, _ placement.Outcome) {
-	n.inFlight[slices.Index(n.siblings, incarnation)]--
-}
-
-func (n *naive) Report(_ time.Time, incarnation view.Incarnation, load float64) {
-	n.reported[slices.Index(n.siblings, incarnation)] = load
-}
-
-func atRandom(n *naive) int { return n.random.IntN(len(n.siblings)) }
-
-func roundRobin(n *naive) int {
-	n.turn = (n.turn + 1) % len(n.siblings)
-
-	return n.turn
-}
-
-func leastReported(n *naive) int { return slices.Index(n.reported, slices.Min(n.reported)) }
-
-func twoChoices(n *naive) int {
-	a, b := atRandom(n), atRandom(n)
-	if n.inFlight[b] < n.inFlight[a] {
-		return b
-	}
-
-	return a
-}
-
-func newPicker(seed uint64) measure.Placer { return placement.New(placement.DefaultPolicy(), seed) }
-
 // placers are the policies that the imbalance benchmark compares.
 var placers = []struct {
 	name string
 	make func(seed uint64) measure.Placer
 }{
-	{name: "random", make: newNaive(atRandom)},
-	{name: "round-robin", make: newNaive(roundRobin)},
-	{name: "least-reported", make: newNaive(leastReported)},
-	{name: "two-choices", make: newNaive(twoChoices)},
-	{name: "picker", make: newPicker},
+	{name: "random", make: measure.NewRandom},
+	{name: "round-robin", make: measure.NewRoundRobin},
+	{name: "least-reported", make: measure.NewLeastReported},
+	{name: "two-choices", make: measure.NewTwoChoices},
+	{name: "picker", make: measure.NewPicker},
 }
 
 var imbalances = []struct {
--- a/internal/testing/measure/targets_test.go
+++ b/internal/testing/measure/targets_test.go
@@ -29,11 +29,11 @@
 		for _, deployment := range measure.Deployments() {
 			is := is.New(t)
 			urgent := deployment.Work[0].Class.Name
-			result := flood(deployment, measure.LeastUrgent, newScheduler, seed)
+			result := flood(deployment, measure.LeastUrgent, measure.NewScheduler, seed)
 			is.True(result.Class(urgent).InTime() >= 0.99)
 			is.True(result.Busy >= 0.85) // the reserve costs little capacity
 
-			plain := flood(deployment, measure.LeastUrgent, newBaseline(false), seed)
+			plain := flood(deployment, measure.LeastUrgent, measure.NewFirstCome, seed)
 			is.True(plain.Class(urgent).InTime() < 0.5) // the scenario is a real flood
 		}
 	})
@@ -45,12 +45,12 @@
 	soak.Run(t, 1, func(t *testing.T, seed uint64) {
 		for _, deployment := range measure.Deployments() {
 			is := is.New(t)
-			result := flood(deployment, measure.MostUrgent, newScheduler, seed)
+			result := flood(deployment, measure.MostUrgent, measure.NewScheduler, seed)
 			is.True(worstShare(result) >= 0.95)
 			is.True(result.MaxWaiting <= admission.DefaultQueueLength*len(deployment.Work)) // bounded
 		}
 
-		strict := flood(measure.Deployments()[1], measure.MostUrgent, newBaseline(true), seed)
+		strict := flood(measure.Deployments()[1], measure.MostUrgent, measure.NewStrictPriority, seed)
 		is.New(t).True(worstShare(strict) < 0.5) // the scenario is a real flood
 	})
 }
@@ -60,9 +60,9 @@
 func TestOtherService(t *testing.T) {
 	is := is.New(t)
 	deployments := measure.Deployments()
-	before := flood(deployments[1], measure.Nobody, newScheduler, 1)
-	flood(deployments[0], measure.LeastUrgent, newScheduler, 1)
-	after := flood(deployments[1], measure.Nobody, newScheduler, 1)
+	before := flood(deployments[1], measure.Nobody, measure.NewScheduler, 1)
+	flood(deployments[0], measure.LeastUrgent, measure.NewScheduler, 1)
+	after := flood(deployments[1], measure.Nobody, measure.NewScheduler, 1)
 	is.Equal(before.Classes, after.Classes)
 }
 
@@ -74,7 +74,7 @@
 			scenario := c.scenario
 			scenario.Duration = time.Duration(max(20-scenario.Agents/15, 6)) * time.Second
 			is := is.New(t)
-			result := measure.Unbalanced(scenario, newPicker, seed)
+			result := measure.Unbalanced(scenario, measure.NewPicker, seed)
 			is.True(result.Ingress > 1.3) // the connections are uneven
 			is.True(result.Imbalance <= 1.05)
 		}
@@ -87,7 +87,7 @@
 	soak.Run(t, 1, func(t *testing.T, seed uint64) {
 		for _, hung := range []bool{false, true} {
 			is := is.New(t)
-			result := measure.Unbalanced(failing(uneven(7, 0.6), hung), newPicker, seed)
+			result := measure.Unbalanced(failing(uneven(7, 0.6), hung), measure.NewPicker, seed)
 			is.True(result.Failed < 0.01)
 			is.True(result.Peak < 1.3)
 		}
