Clean up names, comments and one repeated step

The two issuers of certificates shared their last steps, which are in one method now with the same errors. A pending renewal no longer repeats its own name. Comments named effects that do not exist (a health change is only logged) or bounds without figures; limits of messages state both. An unused accessor of telemetry is gone. Behaviour is the same: the tests of transport, cli and of the changed programs pass under the race detector, the linter reports nothing.

--- a/internal/cli/cmd/operator.go
+++ b/internal/cli/cmd/operator.go
@@ -147,7 +147,7 @@
 }
 
 // pendingChange returns the pending change of an environment and checks that it
-// is the given document, so that nobody signs bytes that he has not read.
+// is the given document, so that co-owners sign only bytes that they hold.
 func pendingChange(
 	ctx context.Context, client *controller.Client, environment string, digest [32]byte,
 ) (control.Change, error) {
--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -422,7 +422,7 @@
 	flows.Wait()
 }
 
-// healthChanged tells the controllers about the backend server.
+// healthChanged logs that the backend server became healthy or unhealthy.
 func (a *Agent) healthChanged(healthy bool) {
 	a.logger.Info("health of the backend server changed", "healthy", healthy)
 }
--- a/internal/program/agent/call.go
+++ b/internal/program/agent/call.go
@@ -18,6 +18,9 @@
 // a request that was proven not to have run can be placed elsewhere.
 const maxBody = 1 << 20
 
+// maxKey bounds an idempotency key in bytes.
+const maxKey = claim.MaxToken
+
 // The headers by which callers and agents talk about a request.
 const (
 	headerKey       = "Idempotency-Key"
@@ -101,9 +104,6 @@
 	return c, nil
 }
 
-// maxKey bounds an idempotency key in bytes.
-const maxKey = claim.MaxToken
-
 // endToEnd returns the headers without those of a single connection.
 func endToEnd(header http.Header) http.Header {
 	kept := header.Clone()
--- a/internal/program/balancer/relay.go
+++ b/internal/program/balancer/relay.go
@@ -34,7 +34,7 @@
 	publisher   *rollout.Publisher
 	server      *link.Server
 	upstream    upstream
-	renewals    chan renewal
+	renewals    chan waitingRenewal
 	logger      *slog.Logger
 }
 
@@ -44,10 +44,10 @@
 	Close()
 }
 
-// renewal is one renewal that waits for its batch.
-type renewal struct {
-	renewal control.Renewal
-	result  chan renewalResult
+// waitingRenewal is a renewal that waits for its batch.
+type waitingRenewal struct {
+	control.Renewal
+	result chan renewalResult
 }
 
 type renewalResult struct {
@@ -83,7 +83,7 @@
 			},
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
-		renewals: make(chan renewal, control.MaxRenewals),
+		renewals: make(chan waitingRenewal, control.MaxRenewals),
 		logger:   logger,
 	}
 
@@ -164,10 +164,10 @@
 
 	// All are queued before the first is waited for, so that a message with many
 	// renewals takes one batch and not one for each.
-	waiting := make([]renewal, 0, len(message.Renewals))
+	waiting := make([]waitingRenewal, 0, len(message.Renewals))
 
 	for _, item := range message.Renewals {
-		next := renewal{renewal: item, result: make(chan renewalResult, 1)}
+		next := waitingRenewal{Renewal: item, result: make(chan renewalResult, 1)}
 
 		select {
 		case r.renewals <- next:
@@ -187,7 +187,7 @@
 			}
 
 			if result.unknown {
-				reply.Unknown = append(reply.Unknown, item.renewal.Incarnation)
+				reply.Unknown = append(reply.Unknown, item.Incarnation)
 			}
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
@@ -207,7 +207,7 @@
 	ticker := time.NewTicker(batchInterval)
 	defer ticker.Stop()
 
-	var waiting []renewal
+	var waiting []waitingRenewal
 
 	for {
 		select {
@@ -229,13 +229,13 @@
 	}
 }
 
-func (r *relay) flush(ctx context.Context, waiting []renewal) {
+func (r *relay) flush(ctx context.Context, waiting []waitingRenewal) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 
 	request := control.Renew{Environment: r.environment}
 	for _, item := range waiting {
-		request.Renewals = append(request.Renewals, item.renewal)
+		request.Renewals = append(request.Renewals, item.Renewal)
 	}
 
 	var reply control.RenewReply
@@ -248,6 +248,6 @@
 	}
 
 	for _, item := range waiting {
-		item.result <- renewalResult{unknown: unknown[item.renewal.Incarnation], err: err}
+		item.result <- renewalResult{unknown: unknown[item.Incarnation], err: err}
 	}
 }
--- a/internal/program/balancer/relay_test.go
+++ b/internal/program/balancer/relay_test.go
@@ -60,7 +60,7 @@
 		upstream.renewed = make(map[view.Incarnation]time.Time)
 		r := &relay{
 			environment: "trial", upstream: upstream, logger: slog.New(slog.DiscardHandler),
-			renewals: make(chan renewal, control.MaxRenewals),
+			renewals: make(chan waitingRenewal, control.MaxRenewals),
 		}
 		ctx, stop := context.WithCancel(t.Context())
 
--- a/internal/program/controller/client.go
+++ b/internal/program/controller/client.go
@@ -82,7 +82,7 @@
 		control.History{Environment: environment, Limit: limit})
 }
 
-// Explain tells the story of a change, named by its ID or its version.
+// Explain describes a change, named by its ID or its version.
 func (c *Client) Explain(ctx context.Context, environment, topic string) (control.ExplainReply, error) {
 	return call[control.ExplainReply](ctx, c, control.MethodExplain,
 		control.Explain{Environment: environment, Topic: topic})
--- a/internal/program/controller/network.go
+++ b/internal/program/controller/network.go
@@ -24,6 +24,11 @@
 	// sendTimeout bounds one call to another replica. Messages that are older
 	// than a few election timeouts have no use.
 	sendTimeout = 2 * time.Second
+
+	// collectLimit is the size in bytes from which a request takes no further
+	// message. What remains of control.MaxReplicate holds one more message with
+	// an entry of maxProposal.
+	collectLimit = control.MaxReplicate / 8
 )
 
 // network sends messages of the log to the other replicas and knows their
@@ -168,8 +173,7 @@
 	return started
 }
 
-// collect adds the messages that wait already, up to half a frame: one more
-// message of any size then still fits.
+// collect adds the messages that wait already, up to collectLimit.
 func (s *sender) collect(first raft.Message, logger *slog.Logger) [][]byte {
 	var (
 		list  [][]byte
@@ -187,7 +191,7 @@
 
 		ok = false
 
-		if total < control.MaxReplicate/8 {
+		if total < collectLimit {
 			select {
 			case message = <-s.queue:
 				ok = true
--- a/internal/program/controller/operate.go
+++ b/internal/program/controller/operate.go
@@ -216,7 +216,7 @@
 	return control.ExplainReply{Lines: lines, Leader: c.settings.Name}, err
 }
 
-// explain tells the story of a change, named by its ID or its version.
+// explain describes a change, named by its ID or its version.
 func (o *owner) explain(request control.Explain) []string {
 	record, ok := o.state.Explain(request.Environment, request.Topic)
 	if version, err := strconv.ParseUint(request.Topic, 10, 64); !ok && err == nil {
@@ -241,11 +241,11 @@
 		lines = append(lines, fmt.Sprintf("%s at %s", record.Status, formatTime(record.Decided)))
 	}
 
-	return append(lines, o.arrival(record)...)
+	return append(lines, o.distribution(record)...)
 }
 
-// arrival tells where an accepted change is in force.
-func (o *owner) arrival(record catalog.Record) []string {
+// distribution states where an accepted change is in force.
+func (o *owner) distribution(record catalog.Record) []string {
 	current := o.state.View(record.Environment)
 
 	switch {
--- a/internal/program/controller/owner.go
+++ b/internal/program/controller/owner.go
@@ -30,7 +30,8 @@
 	// forgetAfter is the time after which nobody waits for an answer any more.
 	forgetAfter = time.Minute
 
-	// maxProposal keeps an entry within one frame of a link.
+	// maxProposal is 1.25 MiB: a document of control.MaxDocument and its envelope
+	// fit, and a message with the entry stays below control.MaxReplicate.
 	maxProposal = 5 << 18
 )
 
--- a/internal/program/controller/settings.go
+++ b/internal/program/controller/settings.go
@@ -21,8 +21,8 @@
 	Data      string         `yaml:"data" validate:"required"`                   // directory
 	Listen    netip.AddrPort `yaml:"listen" validate:"required"`                 // UDP, as the others reach it
 	Peers     []string       `yaml:"peers" validate:"max=20,dive,hostname_port"` // the other controllers
-	Identity  identity.Files `yaml:"identity" validate:"required"`               // files
-	Bootstrap bool           `yaml:"bootstrap"`                                  // found a group
+	Identity  identity.Files `yaml:"identity" validate:"required"`
+	Bootstrap bool           `yaml:"bootstrap"` // found a group
 	Owners    []Owner        `yaml:"owners" validate:"required_if=Bootstrap true,omitempty,len=2,dive"`
 	Debug     string         `yaml:"debug" validate:"omitempty,hostname_port"` // TCP on loopback, expvar
 	// SnapshotEntries is the number of applied log entries between two
--- a/internal/program/member/member.go
+++ b/internal/program/member/member.go
@@ -54,8 +54,8 @@
 	Load     func() uint8     // percent of the slots in use
 	Sink     rollout.Sink     // optional; a relay's publisher
 	OnView   func(*view.View) // called for each view that is put into force
-	Logger   *slog.Logger     //
-	Random   *mathrand.Rand   // seeds the jitter of links
+	Logger   *slog.Logger
+	Random   *mathrand.Rand // seeds the jitter of links
 }
 
 // Member is the membership of one instance.
--- a/internal/program/telemetry/telemetry.go
+++ b/internal/program/telemetry/telemetry.go
@@ -31,7 +31,6 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
@@ -203,10 +202,6 @@
 // Tracer returns the tracer of the process.
 func (t *Telemetry) Tracer() trace.Tracer { return t.tracer }
 
-// Propagator returns the W3C trace context format, which carries a trace from
-// hop to hop in the traceparent header.
-func (t *Telemetry) Propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
-
 // SetReady states whether the instance takes traffic, as /healthz reports it.
 func (t *Telemetry) SetReady(ready bool) { t.ready.Store(ready) }
 
--- a/internal/transport/identity/authority.go
+++ b/internal/transport/identity/authority.go
@@ -97,6 +97,12 @@
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 
+	return a.sign("issue", template, certificatePath, keyPath)
+}
+
+// sign creates a key, signs a certificate of the template for it and writes both
+// to new files.
+func (a *Authority) sign(operation string, template *x509.Certificate, certificatePath, keyPath string) error {
 	key, err := CreateKey(keyPath)
 	if err != nil {
 		return err
@@ -104,7 +110,7 @@
 
 	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
 	if err != nil {
-		return newError("issue", KindInvalid, err)
+		return newError(operation, KindInvalid, err)
 	}
 
 	return writeNew(certificatePath, publicMode, &pem.Block{Type: blockCertificate, Bytes: encoded})
--- a/internal/transport/identity/service.go
+++ b/internal/transport/identity/service.go
@@ -1,9 +1,7 @@
 package identity
 
 import (
-	"crypto/rand"
 	"crypto/x509"
-	"encoding/pem"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,15 +24,5 @@
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
 
-	key, err := CreateKey(keyPath)
-	if err != nil {
-		return err
-	}
-
-	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
-	if err != nil {
-		return newError("issue service", KindInvalid, err)
-	}
-
-	return writeNew(certificatePath, publicMode, &pem.Block{Type: blockCertificate, Bytes: encoded})
+	return a.sign("issue service", template, certificatePath, keyPath)
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,7 +7,6 @@
 work=${work:?the directory of the deployment}
 binary=${binary:?the program}
 
-
 # start NAME ARGUMENTS...: starts a subcommand in the background.
 start() {
 	local name=$1
@@ -23,7 +22,8 @@
 # signal NAME SIGNAL: sends a signal to one process of the deployment.
 signal() { kill -"$2" "$(pid "$1")" 2>/dev/null || true; }
 
-# stop_all: ends all processes of the deployment, with patience first.
+# stop_all: sends SIGTERM to all processes of the deployment, and SIGKILL to those
+# that still run after 3 s.
 stop_all() {
 	local file waited
 	for file in "$work"/*.pid; do
