Return the change ID to the author of a change

A submit, promotion or replacement of an owner that the controllers accepted was answered without its change ID, although the operator's command draws a random one: it printed an empty ID, and the author could not resend the change. The reply now carries the ID of the request, unless it is a conflict, which names the winner.

--- a/internal/program/controller/operate.go
+++ b/internal/program/controller/operate.go
@@ -21,8 +21,20 @@
 	return toChangeReply(c.settings.Name, environment, outcome.result), nil
 }
 
+// named adds the change ID to the reply to the request that carried it: the
+// operator needs it for a resend. A conflict names the winner instead.
+func named(id string, result any, err error) (any, error) {
+	reply, ok := result.(control.ChangeReply)
+	if ok && reply.State != control.StateConflict {
+		reply.Change.ChangeID = id
+		result = reply
+	}
+
+	return result, err
+}
+
 func (c *Controller) submit(ctx context.Context, request control.Submit) (any, error) {
-	return c.change(ctx, request.Environment, catalog.Command{Submit: &catalog.Submit{
+	result, err := c.change(ctx, request.Environment, catalog.Command{Submit: &catalog.Submit{
 		Environment: request.Environment,
 		Base:        request.Base,
 		ChangeID:    request.ChangeID,
@@ -30,6 +42,8 @@
 		Reason:      request.Reason,
 		Document:    request.Document,
 	}})
+
+	return named(request.ChangeID, result, err)
 }
 
 func (c *Controller) sign(ctx context.Context, request control.Sign) (any, error) {
@@ -53,17 +67,19 @@
 }
 
 func (c *Controller) promote(ctx context.Context, request control.Promote) (any, error) {
-	return c.change(ctx, catalog.Production, catalog.Command{Promote: &catalog.Promote{
+	result, err := c.change(ctx, catalog.Production, catalog.Command{Promote: &catalog.Promote{
 		Base:     request.Base,
 		ChangeID: request.ChangeID,
 		Author:   request.Author,
 		Reason:   request.Reason,
 		Digest:   [32]byte(request.Digest),
 	}})
+
+	return named(request.ChangeID, result, err)
 }
 
 func (c *Controller) replaceOwner(ctx context.Context, request control.ReplaceOwner) (any, error) {
-	return c.change(ctx, catalog.Owners, catalog.Command{ReplaceOwner: &catalog.ReplaceOwner{
+	result, err := c.change(ctx, catalog.Owners, catalog.Command{ReplaceOwner: &catalog.ReplaceOwner{
 		Base:     request.Base,
 		ChangeID: request.ChangeID,
 		Author:   request.Author,
@@ -72,6 +88,8 @@
 		NewName:  request.NewName,
 		NewKey:   request.PublicKey,
 	}})
+
+	return named(request.ChangeID, result, err)
 }
 
 func (c *Controller) rotateKey(ctx context.Context, request control.RotateKey) (any, error) {
