End all flows of the load client when it stops

The HTTP/3 transport forgets, without closing it, a connection on which a request timed out. After the loss of an agent, three of 8 callers kept such a connection alive for ever, and the load client did not stop on SIGTERM: the first run of the agent case hung for 9 minutes, and the goroutines of a second one stood in caller.watch. Logs name the caller of a broken flow and the backend server of a feed, so that a test can tell whose flows broke.

--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -32,21 +32,25 @@
 // feed share a connection, as a driver's link does.
 type caller struct {
 	client    *Client
+	name      string // in logs
 	workload  Workload
 	service   *net.UDPAddr
 	transport *http3.Transport
 	mutex     sync.Mutex // guards random
 	random    *rand.Rand
 	flows     conc.WaitGroup
+	closing   chan struct{} // closed once no request is in progress
 	stopping  context.Context
 }
 
-func newCaller(client *Client, workload Workload, random *rand.Rand) *caller {
+func newCaller(client *Client, name string, workload Workload, random *rand.Rand) *caller {
 	c := &caller{
 		client:   client,
+		name:     name,
 		workload: workload,
 		service:  &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(workload.Port)},
 		random:   random,
+		closing:  make(chan struct{}),
 	}
 
 	c.transport = &http3.Transport{
@@ -102,7 +106,15 @@
 
 // watch counts a flow as broken unless it was closed on purpose.
 func (c *caller) watch(connection *quic.Conn, transport *quic.Transport, spray *sprayConn) {
-	<-connection.Context().Done()
+	select {
+	case <-connection.Context().Done():
+	case <-c.closing:
+		// The transport forgets, but does not close, a connection on which a
+		// request timed out. Keep-alive would keep it open without end.
+		if err := connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), ""); err != nil {
+			c.client.logger.Debug("flow not closed", "error", err)
+		}
+	}
 
 	var closed *quic.ApplicationError
 
@@ -112,7 +124,7 @@
 
 	if !intended && c.stopping.Err() == nil {
 		c.client.result.add(&c.client.result.BrokenFlows)
-		c.client.logger.Warn("flow broken", "workload", c.workload.Name, "cause", cause)
+		c.client.logger.Warn("flow broken", "caller", c.name, "cause", cause)
 	}
 
 	if err := transport.Close(); err != nil {
@@ -143,6 +155,7 @@
 
 	err := c.transport.Close()
 
+	close(c.closing)
 	c.flows.Wait()
 
 	return errors.Trace(err)
--- a/internal/program/load/feed.go
+++ b/internal/program/load/feed.go
@@ -76,6 +76,8 @@
 		return nil
 	}
 
+	c.client.logger.Info("feed opened", "caller", c.name, "backend_server", response.Header.Get("Backend-Server"))
+
 	return response.Body
 }
 
--- a/internal/program/load/load.go
+++ b/internal/program/load/load.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"crypto/x509"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -95,12 +96,13 @@
 	seed := c.config.Seed
 
 	for _, workload := range c.config.Workloads {
-		for range workload.Callers {
+		for number := range workload.Callers {
 			seed++
+			name := fmt.Sprintf("%s-%d", workload.Name, number)
 			random := rand.New(rand.NewPCG(seed, 0))
 			group.Go(func() {
-				if err := newCaller(c, workload, random).run(ctx); err != nil {
-					c.logger.Error("caller stopped", "workload", workload.Name, "error", err)
+				if err := newCaller(c, name, workload, random).run(ctx); err != nil {
+					c.logger.Error("caller stopped", "caller", name, "error", err)
 				}
 			})
 		}
