--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -33,19 +33,21 @@
 // feed share a connection, as a driver's link does.
 type caller struct {
 	client    *Client
+	name      string // in logs
 	workload  Workload
 	service   *net.UDPAddr
 	transport *http3.Transport
 	mutex     sync.Mutex // guards random
 	random    *rand.Rand
 	flows     conc.WaitGroup
+	closing   chan struct{} // closed once no request is in progress
 	stopping  context.Context
-	closing   chan struct{} // closed when no request is left
 }
 
-func newCaller(client *Client, workload Workload, random *rand.Rand) *caller {
+func newCaller(client *Client, name string, workload Workload, random *rand.Rand) *caller {
 	c := &caller{
 		client:   client,
+		name:     name,
 		workload: workload,
 		service:  &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(workload.Port)},
 		random:   random,
@@ -108,7 +110,11 @@
 	select {
 	case <-connection.Context().Done():
 	case <-c.closing:
-		_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		// The transport forgets, but does not close, a connection on which a
+		// request timed out. Keep-alive would keep it open without end.
+		if err := connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), ""); err != nil {
+			c.client.logger.Debug("flow not closed", "error", err)
+		}
 
 		<-connection.Context().Done()
 	}
@@ -121,7 +127,7 @@
 
 	if !intended && c.stopping.Err() == nil {
 		c.client.result.add(&c.client.result.BrokenFlows)
-		c.client.logger.Warn("flow broken", "workload", c.workload.Name, "cause", cause)
+		c.client.logger.Warn("flow broken", "caller", c.name, "cause", cause)
 	}
 
 	c.close(transport, spray)
