Correct comments that did not match the code

The comment on document faults claimed that faults around a path leave it out, but only the path itself and unreadable parents do. Ramps, limiters, the heartbeat interval and the fluent checks of control say what their signature does not show.

--- a/internal/coordination/forward/balancer.go
+++ b/internal/coordination/forward/balancer.go
@@ -128,6 +128,8 @@
 	return err
 }
 
+// limitersOf returns the limiters of a view by service ID. A service whose
+// limits are the same keeps its limiter, so that a view does not refill it.
 func (b *Balancer) limitersOf(old *snapshot, next *view.View) []*limiter {
 	services := next.Services()
 	if len(services) == 0 {
--- a/internal/coordination/forward/paths.go
+++ b/internal/coordination/forward/paths.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// hear notes a datagram from a balancer. One that the view does not have gets
+// hear records a datagram from a balancer. One that the view does not have gets
 // no reply: its address would come from the source of the datagram, and a
 // replayed datagram has the source that its sender chose.
 func (p *paths) hear(now time.Time, balancer view.Incarnation) {
--- a/internal/coordination/placement/sibling.go
+++ b/internal/coordination/placement/sibling.go
@@ -24,7 +24,8 @@
 	ejections    int // without a stable time between them
 }
 
-// share returns the weight with the ramp taken into account.
+// share returns the weight with the ramp taken into account. It ends a ramp
+// whose time is over.
 func (s *sibling) share(now time.Time, rampUp time.Duration) float64 {
 	if s.rampsFrom.IsZero() {
 		return s.weight
--- a/internal/coordination/raft/raft.go
+++ b/internal/coordination/raft/raft.go
@@ -83,7 +83,7 @@
 	Now        time.Time  // time of the start
 
 	ElectionTimeout   time.Duration // 500 ms; each wait is 1 to 2 times as long
-	HeartbeatInterval time.Duration // 100 ms
+	HeartbeatInterval time.Duration // 100 ms; five fit into an election timeout, so one may be lost
 	MaxProposalBytes  int           // 2 MiB: a document of 1 MiB and its signatures
 	MaxAppendBytes    int           // 512 KiB of entries in one message, or a single entry
 	MaxAppendEntries  int           // 512
--- a/internal/protocol/control/control.go
+++ b/internal/protocol/control/control.go
@@ -128,6 +128,7 @@
 
 func check(message string) *limits { return &limits{message: message} }
 
+// that records an error unless ok holds or there is an error already.
 func (l *limits) that(ok bool, format string, arguments ...any) *limits {
 	if l.err == nil && !ok {
 		l.err = newError("check "+l.message, KindBounds, errors.Errorf(format, arguments...))
--- a/internal/protocol/datagram/datagram.go
+++ b/internal/protocol/datagram/datagram.go
@@ -42,17 +42,17 @@
 
 // The offsets of the fields, in bytes. All integers are big-endian.
 const (
-	offsetMarker    = 0  // format and key ID
-	offsetKind      = 1  // Kind
-	offsetService   = 2  // uint16
-	offsetAgent     = 4  // uint32
-	offsetBalancer  = 8  // uint32
-	offsetIndex     = 12 // uint64
-	offsetAddress   = 20 // 16 bytes; IPv4 as ::ffff:a.b.c.d
-	offsetPort      = 36 // uint16
-	offsetFlags     = 38 // uint16, zero
-	offsetTag       = 40 // uint64
-	lengthOfAddress = 16
+	offsetMarker   = 0  // format and key ID
+	offsetKind     = 1  // Kind
+	offsetService  = 2  // uint16
+	offsetAgent    = 4  // uint32
+	offsetBalancer = 8  // uint32
+	offsetIndex    = 12 // uint64
+	offsetAddress  = 20 // 16 bytes; IPv4 as ::ffff:a.b.c.d
+	offsetPort     = 36 // uint16
+	offsetFlags    = 38 // uint16, zero
+	offsetTag      = 40 // uint64
+	addressLength  = 16
 
 	// HeaderLength is the length of a header in bytes.
 	HeaderLength = 48
@@ -133,7 +133,7 @@
 	binary.BigEndian.PutUint32(buffer[offsetBalancer:], uint32(header.Balancer))
 	binary.BigEndian.PutUint64(buffer[offsetIndex:], header.Index)
 
-	address := [lengthOfAddress]byte{}
+	address := [addressLength]byte{}
 	if header.Caller.IsValid() {
 		address = header.Caller.Addr().As16()
 	}
@@ -169,7 +169,7 @@
 		return BadField
 	}
 
-	address := netip.AddrFrom16([lengthOfAddress]byte(received[offsetAddress:offsetPort]))
+	address := netip.AddrFrom16([addressLength]byte(received[offsetAddress:offsetPort]))
 	port := binary.BigEndian.Uint16(received[offsetPort:])
 
 	*header = Header{
--- a/internal/state/document/check.go
+++ b/internal/state/document/check.go
@@ -90,8 +90,8 @@
 
 // locate adds the violations as faults. It binds the tree a second time to
 // learn the places: recording them always would double the cost of documents
-// without faults. A path that has a fault already, or is inside or around one,
-// is left out, because its value is unknown.
+// without faults. A path that has a fault already, or lies inside a value that
+// could not be read, is left out, because its value is unknown.
 func (b *binder) locate(violations []violation) {
 	if len(violations) == 0 {
 		return
