--- a/internal/state/catalog/command.go
+++ b/internal/state/catalog/command.go
@@ -144,8 +144,8 @@
 	Weight      uint8            `cbor:"3,keyasint"` // 0 to view.MaxWeight
 }
 
-// RotateKey makes a new fabric key the newest. The previous one is kept for
-// receivers until the next rotation.
+// RotateKey makes a new fabric key the newest. A view keeps the newest keptKeys
+// of them.
 type RotateKey struct {
 	Environment string   `cbor:"1,keyasint"`
 	Rotation    uint64   `cbor:"2,keyasint"` // rotations so far, so that a resend does not rotate twice
