--- a/internal/testing/fleet/deploy.go
+++ b/internal/testing/fleet/deploy.go
@@ -37,6 +37,7 @@
 	Balancers, Services                 []string
 	Callers, Attempts                   int
 	Ledgers                             string
+	Seed                                int // of a load client: equal seeds give equal idempotency keys
 }
 
 // createKeys creates the authority and the keys of owners, services and operator.
@@ -87,6 +88,7 @@
 	}
 
 	made := instance{
+		Seed: len(f.all) * 1000,
 		Name: name, Host: f.host(name), Debug: f.debugAddress(name), Zone: zones[(numberOf(name)+2)%len(zones)],
 		Controllers: strings.Join(listen, ", "), Upstreams: strings.Join(listen, ", "),
 		City: identity.FormatPublicKey(f.public["city"]), Works: identity.FormatPublicKey(f.public["works"]),
@@ -196,8 +198,14 @@
 }
 
 // StartBackend starts the backend server beside an agent.
-func (f *Fleet) StartBackend(agent string) {
-	f.write("backend-"+agent+".yaml", backendSettings, f.instance(agent))
+func (f *Fleet) StartBackend(agent string) { f.StartBackendAt(agent, agent) }
+
+// StartBackendAt starts the backend server of an agent at the address of
+// another instance.
+func (f *Fleet) StartBackendAt(agent, at string) {
+	settings := f.instance(agent)
+	settings.Host = f.host(at)
+	f.write("backend-"+agent+".yaml", backendSettings, settings)
 	f.start("backend-"+agent, "backend", "-settings", "backend-"+agent+".yaml")
 }
 
@@ -215,3 +223,16 @@
 	f.write(name+".yaml", agentSettings, settings)
 	f.start(name, "agent", "-settings", name+".yaml")
 }
+
+// Restart stops an instance with patience and starts it again.
+func (f *Fleet) Restart(name string) {
+	f.t.Helper()
+	f.Terminate(name)
+	f.Rerun(name)
+}
+
+// Rerun starts an instance that has ended with the same settings.
+func (f *Fleet) Rerun(name string) {
+	f.t.Helper()
+	f.start(name, f.processes[name].command.Args[1:]...)
+}
--- a/internal/testing/fleet/fleet.go
+++ b/internal/testing/fleet/fleet.go
@@ -131,10 +131,17 @@
 	f.t.Helper()
 
 	for _, name := range names {
-		f.Await(name+" is ready", func() bool { return f.ready(name) })
+		f.AwaitReadyAt(name, name)
 	}
 }
 
+// AwaitReadyAt waits for the health check of an instance at the address of
+// another one.
+func (f *Fleet) AwaitReadyAt(name, at string) {
+	f.t.Helper()
+	f.Await(name+" is ready", func() bool { return f.ready(at) })
+}
+
 func (f *Fleet) ready(name string) bool {
 	client := http.Client{Timeout: healthTimeout}
 
--- a/internal/testing/fleet/load.go
+++ b/internal/testing/fleet/load.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"jayspindle/internal/program/load"
 )
@@ -38,9 +39,10 @@
 	}
 
 	settings.Ledgers = strings.Join(f.ledgers(), ", ")
-	f.write("load.yaml", loadSettings, settings)
+	file := "load-" + strings.Join(settings.Services, "-")
+	f.write(file+".yaml", loadSettings, settings)
 
-	return &Calls{fleet: f, process: f.start("load", "load", "-json", "-settings", "load.yaml")}
+	return &Calls{fleet: f, process: f.start(file, "load", "-json", "-settings", file+".yaml")}
 }
 
 func (f *Fleet) ledgers() []string {
@@ -57,11 +59,34 @@
 	return ledgers
 }
 
+// Log returns the log of the load client.
+func (c *Calls) Log() []Line { return c.fleet.Log(c.process.name) }
+
+// Feeds returns the backend server of the newest feed of each caller.
+func (c *Calls) Feeds() map[string]string {
+	feeds := make(map[string]string)
+
+	for _, line := range c.Log() {
+		if line.Msg == "feed opened" {
+			feeds[line.Caller] = line.BackendServer
+		}
+	}
+
+	return feeds
+}
+
 // Stop ends the load and returns what the callers saw.
 func (c *Calls) Stop() *load.Result {
 	c.fleet.t.Helper()
 	c.process.signal(syscall.SIGTERM)
-	<-c.process.done
+
+	select {
+	case <-c.process.done:
+	case <-time.After(14 * time.Second):
+		c.process.signal(syscall.SIGQUIT) // logs its goroutines
+		<-c.process.done
+		c.fleet.t.Fatalf("the load client did not stop within %s, see %s", Patience, c.process.log)
+	}
 
 	result := &load.Result{}
 	if err := json.Unmarshal(c.process.output.Bytes(), result); err != nil {
--- a/internal/testing/fleet/operate.go
+++ b/internal/testing/fleet/operate.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
 
+	"jayspindle/internal/program/backend"
 	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/state/document"
 	"jayspindle/internal/state/view"
@@ -175,17 +177,38 @@
 	})
 }
 
-// Positions returns the positions that the present run of an instance put into
-// force, oldest first, as its log tells.
-func (f *Fleet) Positions(name string) []view.Position {
+// Line is what tests read of a line in a log.
+type Line struct {
+	Msg           string
+	Position      string
+	Caller        string
+	BackendServer string `json:"backend_server"`
+}
+
+// Log returns the log of the present run of a process.
+func (f *Fleet) Log(name string) []Line {
 	log, err := os.ReadFile(f.processes[name].log)
 	f.check(err)
 
-	var positions []view.Position
+	var parsed []Line
 
 	for text := range bytes.Lines(log) {
-		var line struct{ Msg, Position string }
-		if json.Unmarshal(text, &line) != nil || line.Msg != "view in force" {
+		var line Line
+		if json.Unmarshal(text, &line) == nil {
+			parsed = append(parsed, line)
+		}
+	}
+
+	return parsed
+}
+
+// Positions returns the positions that the present run of an instance put into
+// force, oldest first, as its log tells.
+func (f *Fleet) Positions(name string) []view.Position {
+	var positions []view.Position
+
+	for _, line := range f.Log(name) {
+		if line.Msg != "view in force" {
 			continue
 		}
 
@@ -199,3 +222,21 @@
 
 	return positions
 }
+
+// Runs returns how many requests the backend server beside an agent has begun.
+func (f *Fleet) Runs(agent string) int64 {
+	f.t.Helper()
+
+	client := http.Client{Timeout: healthTimeout}
+
+	response, err := client.Get("http://" + f.host(agent) + ":8080/healthz")
+	f.check(err)
+
+	defer func() { f.check(response.Body.Close()) }()
+
+	var report backend.Report
+
+	f.check(json.NewDecoder(response.Body).Decode(&report))
+
+	return report.Runs
+}
--- a/internal/testing/fleet/settings.go
+++ b/internal/testing/fleet/settings.go
@@ -50,7 +50,7 @@
 listen: {{.Host}}:8080
 slots: 3
 ledger: {{.Name}}.ledger
-seed: 1
+seed: {{.Seed}}
 routes:
   - {method: GET, path: /alerts, duration: 250ms, feed: true}
   - {method: POST, path: /reports, duration: 20ms, size: 128, record: true}
@@ -62,7 +62,7 @@
 `
 
 	loadSettings = `{{template "instance" .}}telemetry: {log_level: INFO, log_format: json}
-seed: 1
+seed: {{.Seed}}
 duration: 5m
 authority: authority.pem
 balancers:
