--- a/internal/testing/fleet/load.go
+++ b/internal/testing/fleet/load.go
@@ -82,7 +82,7 @@
 
 	select {
 	case <-c.process.done:
-	case <-time.After(14 * time.Second):
+	case <-time.After(Patience):
 		c.process.signal(syscall.SIGQUIT) // logs its goroutines
 		<-c.process.done
 		c.fleet.t.Fatalf("the load client did not stop within %s, see %s", Patience, c.process.log)
