Mend two tests whose verdict depended on chance, and the fault behind one

Cause: TestSilence/peer failed once with 'silent' for a peer that was gone, after 2.84 s, without the second of the probe: the streams of a connection fail before its context ends, so the probe took the failed connection for a new one and did not dial. TestFleet failed once on 'feeds moved': its six callers choose agents by random connection IDs, so the agent that drains had none in 8.8% of all runs.

Change: the probe no longer counts the failed connection as a replacement; TestFleet has 30 callers at a fifth of the rate.

--- a/internal/program/agent/fleet_test.go
+++ b/internal/program/agent/fleet_test.go
@@ -341,14 +341,16 @@
 	client, err := load.New(load.Settings{
 		Seed: 1, Duration: 5 * time.Second, Authority: d.path("ca.pem"), Balancers: fabric, Ledgers: ledgers,
 		Workloads: []load.Workload{{
-			Name: "drivers", Service: service, Port: d.port, Callers: 6, Feed: "/alerts", FeedSilence: 3 * time.Second,
+			// With 30 flows on 3 agents by random connection IDs, the agent that
+			// drains is without any in one of 190,000 runs.
+			Name: "drivers", Service: service, Port: d.port, Callers: 30, Feed: "/alerts", FeedSilence: 3 * time.Second,
 			Requests: []load.Request{
 				{
-					Class: "report", Method: "POST", Path: "/reports", Interval: 100 * time.Millisecond, Attempts: 5,
+					Class: "report", Method: "POST", Path: "/reports", Interval: 500 * time.Millisecond, Attempts: 5,
 					Timeout: 4 * time.Second, Deadline: 4 * time.Second, BodySize: 100,
 				},
 				{
-					Class: "alert", Method: "POST", Path: "/alerts", Interval: 100 * time.Millisecond, Attempts: 5,
+					Class: "alert", Method: "POST", Path: "/alerts", Interval: 500 * time.Millisecond, Attempts: 5,
 					Timeout: 4 * time.Second, Deadline: 4 * time.Second, Idempotent: true, BodySize: 5000,
 				},
 			},
--- a/internal/transport/link/client.go
+++ b/internal/transport/link/client.go
@@ -243,8 +243,9 @@
 		return cause
 	}
 
-	// Another call has already replaced the connection.
-	if session, _, err := c.state(); session != nil || err != nil {
+	// Another call may have replaced the connection already. The failed one can
+	// still look alive here: its streams fail before its context ends.
+	if session, _, err := c.state(); err != nil || (session != nil && session != failed) {
 		return cause
 	}
 
