Name the parts of the claim scenario and its constants

The types world, node and attempt and the constant step belong to one of six scenarios of the package, which their names did not say; times and sizes of two other scenarios stood as plain numbers in the code. They have names with the scenario now. controller.Load had no caller and is removed.

--- a/internal/program/controller/controller.go
+++ b/internal/program/controller/controller.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	settings, err := controller.Load("controller.yaml")
+//	settings, err := controller.Parse(content)
 //	process, err := controller.New(settings, logger, random)
 //	err = process.Run(ctx)
 //
--- a/internal/program/controller/settings.go
+++ b/internal/program/controller/settings.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/netip"
-	"os"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
@@ -36,16 +35,6 @@
 	Key  string `yaml:"key" validate:"required"` // "ed25519:BASE64"
 }
 
-// Load reads a settings file.
-func Load(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, newError("load", KindSettings, err)
-	}
-
-	return Parse(content)
-}
-
 // Parse decodes settings strictly: an unknown key is an error.
 func Parse(content []byte) (Settings, error) {
 	var settings Settings
--- a/internal/testing/measure/claims.go
+++ b/internal/testing/measure/claims.go
@@ -41,7 +41,7 @@
 
 // Claims runs the scenario.
 func Claims(scenario ClaimScenario, seed uint64) ClaimResult {
-	w := &world{
+	w := &claimWorld{
 		random: rand.New(rand.NewPCG(seed, 0)), now: epoch, scenario: scenario,
 		events: make(map[time.Time][]func()), runs: make(map[claim.Key][]run),
 		result: ClaimResult{Verdicts: make(map[claim.Verdict]int), Reasons: make(map[claim.Reason]int)},
@@ -70,13 +70,13 @@
 }
 
 // load sends new keys and causes faults.
-func (w *world) load() {
-	if w.random.Float64() < w.scenario.Keys*step.Seconds() {
+func (w *claimWorld) load() {
+	if w.random.Float64() < w.scenario.Keys*simulationStep.Seconds() {
 		w.result.Keys++
 		w.request(claim.Key{Service: 1, Token: fmt.Sprintf("key-%d", w.result.Keys)}, 4)
 	}
 
-	if w.random.Float64() < w.scenario.Faults*step.Seconds() {
+	if w.random.Float64() < w.scenario.Faults*simulationStep.Seconds() {
 		for range 1 + w.random.IntN(2) {
 			w.disturb()
 		}
@@ -84,7 +84,7 @@
 }
 
 // disturb causes one fault.
-func (w *world) disturb() {
+func (w *claimWorld) disturb() {
 	nodes := w.alive()
 	if len(nodes) < 3 {
 		w.join()
@@ -105,7 +105,7 @@
 }
 
 // roll replaces the agents one after the other.
-func (w *world) roll(nodes []*node) {
+func (w *claimWorld) roll(nodes []*claimNode) {
 	if len(nodes) == 0 {
 		return
 	}
@@ -116,6 +116,6 @@
 }
 
 // violate records a broken promise.
-func (w *world) violate(format string, arguments ...any) {
+func (w *claimWorld) violate(format string, arguments ...any) {
 	w.result.Violations = append(w.result.Violations, fmt.Sprintf(format, arguments...))
 }
--- a/internal/testing/measure/claims_world.go
+++ b/internal/testing/measure/claims_world.go
@@ -11,28 +11,28 @@
 )
 
 const (
-	step     = 10 * time.Millisecond // of simulated time
-	leaseTTL = 3 * time.Second
-	viewLag  = 500 * time.Millisecond // longest time until an agent has a view
+	simulationStep = 10 * time.Millisecond // of simulated time
+	leaseTTL       = 3 * time.Second
+	viewLag        = 500 * time.Millisecond // longest time until an agent has a view
 )
 
-// node is an agent with its store, history and running claims.
-type node struct {
+// claimNode is an agent with its store, history and running claims.
+type claimNode struct {
 	incarnation view.Incarnation
 	zone        string
 	store       *claim.Store
 	history     *claim.History
-	claimants   []*attempt
+	claimants   []*claimAttempt
 	sequence    uint64
 	alive       bool
 	draining    bool
 	isolated    bool
 }
 
-// attempt is one request that a caller sent through one agent.
-type attempt struct {
+// claimAttempt is one request that a caller sent through one agent.
+type claimAttempt struct {
 	*claim.Claimant
-	node    *node
+	node    *claimNode
 	key     claim.Key
 	began   time.Time
 	judged  bool
@@ -47,11 +47,11 @@
 
 // world simulates agents, links, views and callers in steps, and judges every
 // verdict against what has really been handed over.
-type world struct {
+type claimWorld struct {
 	random   *rand.Rand
 	now      time.Time
 	events   map[time.Time][]func()
-	nodes    []*node
+	nodes    []*claimNode
 	agents   []view.Agent
 	position view.Position
 	runs     map[claim.Key][]run
@@ -59,19 +59,19 @@
 	result   ClaimResult
 }
 
-func (w *world) duration(limit time.Duration) time.Duration {
+func (w *claimWorld) duration(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
 
-func (w *world) after(delay time.Duration, do func()) {
-	at := w.now.Add(max(delay.Truncate(step), step))
+func (w *claimWorld) after(delay time.Duration, do func()) {
+	at := w.now.Add(max(delay.Truncate(simulationStep), simulationStep))
 	w.events[at] = append(w.events[at], do)
 }
 
 // start adds an agent with a new incarnation to the view.
-func (w *world) start() *node {
+func (w *claimWorld) start() *claimNode {
 	incarnation := view.Incarnation(len(w.nodes) + 1)
-	n := &node{
+	n := &claimNode{
 		incarnation: incarnation, zone: fmt.Sprintf("zone-%d", incarnation%3), alive: true,
 		store:   claim.NewStore(incarnation, Retention, w.scenario.Capacity),
 		history: claim.NewHistory(w.now, Retention, MaxUnconfirmed),
@@ -84,7 +84,7 @@
 }
 
 // publish sends the view to all agents, each with its own delay.
-func (w *world) publish() {
+func (w *claimWorld) publish() {
 	w.position.Index++
 	position, agents := w.position, slices.Clone(w.agents)
 
@@ -98,7 +98,7 @@
 }
 
 // remove takes an agent out of the view.
-func (w *world) remove(n *node) {
+func (w *claimWorld) remove(n *claimNode) {
 	before := len(w.agents)
 	w.agents = slices.DeleteFunc(w.agents, func(a view.Agent) bool { return a.Incarnation == n.incarnation })
 
@@ -108,18 +108,18 @@
 }
 
 // kill ends an agent silently; its lease runs out.
-func (w *world) kill(n *node) {
+func (w *claimWorld) kill(n *claimNode) {
 	n.alive = false
 	w.after(leaseTTL, func() { w.remove(n) })
 }
 
 // join starts an agent that learns the history from a sibling.
-func (w *world) join() {
+func (w *claimWorld) join() {
 	n := w.start()
 	w.after(viewLag+w.duration(viewLag), func() { w.learn(n) })
 }
 
-func (w *world) learn(n *node) {
+func (w *claimWorld) learn(n *claimNode) {
 	for _, other := range w.shuffled() {
 		if other != n && w.connected(n, other) && other.history.Complete(w.now) {
 			n.history.Merge(w.now, other.history.Past(w.now))
@@ -132,7 +132,7 @@
 }
 
 // drain stops an agent in order: no new work, running work ends, seats move.
-func (w *world) drain(n *node) {
+func (w *claimWorld) drain(n *claimNode) {
 	n.draining = true
 
 	for i := range w.agents {
@@ -145,7 +145,7 @@
 	w.after(4*time.Second, func() { w.leave(n) })
 }
 
-func (w *world) leave(n *node) {
+func (w *claimWorld) leave(n *claimNode) {
 	if !n.alive {
 		return
 	}
@@ -164,7 +164,7 @@
 	})
 }
 
-func (w *world) move(seat view.Incarnation, from, to *node) bool {
+func (w *claimWorld) move(seat view.Incarnation, from, to *claimNode) bool {
 	transfer, err := from.store.Export(w.now, seat, to.incarnation)
 	if err != nil {
 		w.violate("export: %v", err)
@@ -192,7 +192,7 @@
 }
 
 // isolate cuts some agents off from the others and from the controllers.
-func (w *world) isolate(count int, lasts time.Duration) {
+func (w *claimWorld) isolate(count int, lasts time.Duration) {
 	for _, n := range w.alive() {
 		if count == 0 {
 			return
@@ -215,7 +215,7 @@
 }
 
 // heal reconnects an agent. One that was removed starts again from nothing.
-func (w *world) heal(n *node) {
+func (w *claimWorld) heal(n *claimNode) {
 	n.isolated = false
 
 	if n.alive && !slices.ContainsFunc(w.agents, func(a view.Agent) bool { return a.Incarnation == n.incarnation }) {
@@ -224,28 +224,30 @@
 	}
 }
 
-func (w *world) alive() []*node {
-	return slices.DeleteFunc(w.shuffled(), func(n *node) bool { return !n.alive })
+func (w *claimWorld) alive() []*claimNode {
+	return slices.DeleteFunc(w.shuffled(), func(n *claimNode) bool { return !n.alive })
 }
 
-func (w *world) shuffled() []*node {
+func (w *claimWorld) shuffled() []*claimNode {
 	nodes := slices.Clone(w.nodes)
 	w.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 
 	return nodes
 }
 
-func (w *world) connected(a, b *node) bool { return a.alive && b.alive && a.isolated == b.isolated }
+func (w *claimWorld) connected(a, b *claimNode) bool {
+	return a.alive && b.alive && a.isolated == b.isolated
+}
 
 // send carries a message with loss, delay and duplicates.
-func (w *world) send(from, to *node, deliver func()) {
+func (w *claimWorld) send(from, to *claimNode, deliver func()) {
 	copies := 1
 	if w.random.Float64() < w.scenario.Loss {
 		copies = w.random.IntN(3)
 	}
 
 	for range copies {
-		delay := w.duration(4 * step)
+		delay := w.duration(4 * simulationStep)
 		if w.random.Float64() < w.scenario.Loss {
 			delay = w.duration(3 * time.Second)
 		}
@@ -258,11 +260,13 @@
 	}
 }
 
-func (w *world) node(incarnation view.Incarnation) *node { return w.nodes[incarnation-1] }
+func (w *claimWorld) node(incarnation view.Incarnation) *claimNode {
+	return w.nodes[incarnation-1]
+}
 
 // request lets a caller send a key through a random agent.
-func (w *world) request(key claim.Key, resends int) {
-	nodes := slices.DeleteFunc(w.alive(), func(n *node) bool { return n.draining })
+func (w *claimWorld) request(key claim.Key, resends int) {
+	nodes := slices.DeleteFunc(w.alive(), func(n *claimNode) bool { return n.draining })
 	if len(nodes) == 0 {
 		return
 	}
@@ -270,7 +274,7 @@
 	n := nodes[0]
 	n.sequence++
 	execution := claim.Execution{Agent: n.incarnation, Sequence: n.sequence}
-	a := &attempt{
+	a := &claimAttempt{
 		Claimant: claim.Begin(w.now, key, execution, n.history), node: n, key: key, began: w.now, resends: resends,
 	}
 	n.claimants = append(n.claimants, a)
@@ -281,9 +285,9 @@
 }
 
 // advance runs the world until the duration has passed.
-func (w *world) advance(duration time.Duration, each func()) {
+func (w *claimWorld) advance(duration time.Duration, each func()) {
 	for end := w.now.Add(duration); w.now.Before(end); {
-		w.now = w.now.Add(step)
+		w.now = w.now.Add(simulationStep)
 		due := w.events[w.now]
 		delete(w.events, w.now)
 
@@ -303,12 +307,12 @@
 }
 
 // work lets an agent send and judge.
-func (w *world) work(n *node) {
+func (w *claimWorld) work(n *claimNode) {
 	if !n.isolated {
 		n.history.Confirm(w.now)
 	}
 
-	n.claimants = slices.DeleteFunc(n.claimants, func(a *attempt) bool { return a.judged && a.Done(w.now) })
+	n.claimants = slices.DeleteFunc(n.claimants, func(a *claimAttempt) bool { return a.judged && a.Done(w.now) })
 
 	for _, a := range n.claimants {
 		a.Tick(w.now)
@@ -329,7 +333,7 @@
 }
 
 // judge compares a verdict with the hand-overs and acts on it.
-func (w *world) judge(a *attempt) {
+func (w *claimWorld) judge(a *claimAttempt) {
 	decision := a.Decision()
 	w.result.Verdicts[decision.Verdict]++
 	w.result.Reasons[decision.Reason]++
@@ -353,7 +357,7 @@
 	}
 }
 
-func (w *world) assertAnswer(a *attempt, decision claim.Decision) {
+func (w *claimWorld) assertAnswer(a *claimAttempt, decision claim.Decision) {
 	if !slices.ContainsFunc(w.runs[a.key], func(r run) bool {
 		return r.execution == decision.Owner && answerOf(r.execution) == string(decision.Answer.Body)
 	}) {
@@ -363,7 +367,7 @@
 
 func answerOf(execution claim.Execution) string { return fmt.Sprintf("answer of %v", execution) }
 
-func (w *world) handOver(a *attempt) {
+func (w *claimWorld) handOver(a *claimAttempt) {
 	if !a.node.alive || !a.HandOver(w.now) {
 		return
 	}
--- a/internal/testing/measure/executions.go
+++ b/internal/testing/measure/executions.go
@@ -47,7 +47,8 @@
 }
 
 const (
-	executionDuration = 70 * time.Second // arrivals end 10 s earlier
+	executionDuration = 70 * time.Second
+	executionSettle   = 10 * time.Second // at the end, without arrivals
 	executionLoss     = 0.02             // of messages and of responses to callers
 	executionTimeout  = 2 * time.Second  // of a caller before it sends again
 	executionAttempts = 6
@@ -57,6 +58,12 @@
 	executionImpatient = 50 * time.Millisecond
 	impatientOneOf     = 10
 
+	// Two agents are lost, and one is cut off in between. The distance is well
+	// above leaseTTL, so that each loss is repaired before the next fault.
+	executionFirstLoss  = 15 * time.Second
+	executionCut        = 30 * time.Second
+	executionSecondLoss = 45 * time.Second
+
 	executionCutOff = 2 * time.Second
 	executionWindow = 10 * time.Minute
 )
@@ -119,16 +126,16 @@
 
 	r.arrivals(r.random, epoch, config.Rate, r.arrive)
 	r.at(epoch, r.work)
-	r.at(epoch.Add(15*time.Second), r.lose)
-	r.at(epoch.Add(30*time.Second), r.cut)
-	r.at(epoch.Add(45*time.Second), r.lose)
+	r.at(epoch.Add(executionFirstLoss), r.lose)
+	r.at(epoch.Add(executionCut), r.cut)
+	r.at(epoch.Add(executionSecondLoss), r.lose)
 	r.run()
 
 	return r.count()
 }
 
 func (r *executionRun) arrive(now time.Time) {
-	if now.After(r.end.Add(-10 * time.Second)) {
+	if now.After(r.end.Add(-executionSettle)) {
 		return
 	}
 
--- a/internal/testing/measure/executions_work.go
+++ b/internal/testing/measure/executions_work.go
@@ -25,7 +25,7 @@
 		}
 	}
 
-	r.at(now.Add(step), r.work)
+	r.at(now.Add(simulationStep), r.work)
 }
 
 func (r *executionRun) advance(now time.Time, n *executionNode, a *executionAttempt) {
@@ -60,7 +60,7 @@
 		return
 	}
 
-	r.at(now.Add(siblingLatency+r.duration(step)), func(now time.Time) {
+	r.at(now.Add(siblingLatency+r.duration(simulationStep)), func(now time.Time) {
 		if !from.dead && !to.dead && (from == to || !from.cutOff && !to.cutOff) {
 			deliver(now)
 		}
--- a/internal/testing/measure/forwarding.go
+++ b/internal/testing/measure/forwarding.go
@@ -34,6 +34,12 @@
 	forwardBatch   = 64
 	forwardPayload = 1200
 	forwardWarmUp  = 64 // batches of both kinds together
+
+	// forwardFlows is the number of established flows, each with a packet of its own.
+	forwardFlows = 4096
+	// agentStride is a prime, so that consecutive packets go to agents far apart
+	// in the tables.
+	agentStride = 7919
 )
 
 // forwardRun takes turns between bare forwarding and the path of a balancer,
@@ -122,10 +128,10 @@
 	}
 
 	r.worker = balancer.Worker()
-	r.packets = make([][]byte, 4096)
+	r.packets = make([][]byte, forwardFlows)
 
 	for i := range r.packets {
-		agent := i * 7919 % config.Agents // visits agents far apart
+		agent := i * agentStride % config.Agents
 		service := view.ServiceID(agent%config.Services + 1)
 		packet := make([]byte, forwardPayload)
 		packet[0] = shortHeader
