Put reading of documents and printing of tables in files of their own

Three subcommands built the same table writer, and the functions that read a document were spread over the files of submit, validate and diff. They are in document.go and output.go now, with the same output. Two names and comments of the capacity probes are plain. The tests of internal/cli and capacity pass under the race detector and the linter reports nothing.

--- a/internal/cli/cmd/diff.go
+++ b/internal/cli/cmd/diff.go
@@ -58,12 +58,3 @@
 
 	return exitOK
 }
-
-func parseDocument(name string) (*document.Document, error) {
-	data, err := readDocument(name)
-	if err != nil {
-		return nil, err
-	}
-
-	return document.Parse(name, data)
-}
--- a/internal/cli/cmd/history.go
+++ b/internal/cli/cmd/history.go
@@ -4,9 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
+	"io"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
@@ -51,13 +50,10 @@
 }
 
 func showHistory(reply control.HistoryReply) {
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "TIME\tVERSION\tSTATE\tCHANGE\tAUTHOR\tSIGNED BY\tDIGEST\tREASON")
-
-	for _, change := range reply.Changes {
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%.12x\t%s\n", change.Time.UTC().Format(time.RFC3339), change.Version,
-			change.State, change.ChangeID, change.Author, strings.Join(change.Signers, ", "), change.Digest, change.Reason)
-	}
-
-	_ = table.Flush() // standard output: nothing is left to tell the operator with
+	printTable("TIME\tVERSION\tSTATE\tCHANGE\tAUTHOR\tSIGNED BY\tDIGEST\tREASON", func(table io.Writer) {
+		for _, change := range reply.Changes {
+			fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%.12x\t%s\n", change.Time.UTC().Format(time.RFC3339), change.Version,
+				change.State, change.ChangeID, change.Author, strings.Join(change.Signers, ", "), change.Digest, change.Reason)
+		}
+	})
 }
--- a/internal/cli/cmd/members.go
+++ b/internal/cli/cmd/members.go
@@ -4,10 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/netip"
-	"os"
 	"strconv"
-	"text/tabwriter"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
@@ -81,13 +80,10 @@
 }
 
 func showMembers(reply control.MembersReply) {
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "REPLICA\tNAME\tADDRESS\tVOTER\tSTORED INDEX\tLEADER")
-
-	for _, member := range reply.Members {
-		fmt.Fprintf(table, "%016x\t%s\t%s\t%t\t%d\t%t\n", member.Replica, member.Name, member.Address, member.Voter,
-			member.Match, member.Name == reply.Leader)
-	}
-
-	_ = table.Flush() // standard output: nothing is left to tell the operator with
+	printTable("REPLICA\tNAME\tADDRESS\tVOTER\tSTORED INDEX\tLEADER", func(table io.Writer) {
+		for _, member := range reply.Members {
+			fmt.Fprintf(table, "%016x\t%s\t%s\t%t\t%d\t%t\n", member.Replica, member.Name, member.Address, member.Voter,
+				member.Match, member.Name == reply.Leader)
+		}
+	})
 }
--- a/internal/cli/cmd/operator.go
+++ b/internal/cli/cmd/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/juju/errors"
 
 	"jayspindle/internal/program/controller"
 	"jayspindle/internal/protocol/control"
@@ -118,17 +116,6 @@
 	}
 }
 
-func printJSON(value any) subcommands.ExitStatus {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-
-	if err := encoder.Encode(value); err != nil {
-		return fail(err)
-	}
-
-	return statusOf(value)
-}
-
 // showChange prints what became of a change.
 func showChange(reply control.ChangeReply) func() {
 	return func() {
@@ -167,22 +154,3 @@
 
 	return *status.Pending, nil
 }
-
-// readDocument reads a document file, which may be "-" for standard input.
-func readDocument(name string) ([]byte, error) {
-	if name == "" {
-		return nil, errors.New("-file is missing")
-	}
-
-	if name == "-" {
-		return readAll(os.Stdin)
-	}
-
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer file.Close() //nolint:errcheck // the file was only read
-
-	return readAll(file)
-}
--- a/internal/cli/cmd/status.go
+++ b/internal/cli/cmd/status.go
@@ -4,8 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"text/tabwriter"
+	"io"
 	"time"
 
 	"github.com/google/subcommands"
@@ -63,20 +62,19 @@
 
 // showInstances prints for each instance what is in force and since when.
 func showInstances(reply control.StatusReply) {
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "\nINCARNATION\tROLE\tSERVICE\tZONE\tADDRESS\tSTATE\tWEIGHT\tPOSITION\tIN FORCE FOR\tRENEWED")
-
-	for _, instance := range reply.Instances {
-		inForce, renewed := "not reported", "never"
-		if instance.Renewed >= 0 {
-			inForce = instance.InForce.Round(time.Second).String()
-			renewed = instance.Renewed.Round(100*time.Millisecond).String() + " ago"
+	const header = "\nINCARNATION\tROLE\tSERVICE\tZONE\tADDRESS\tSTATE\tWEIGHT\tPOSITION\tIN FORCE FOR\tRENEWED"
+
+	printTable(header, func(table io.Writer) {
+		for _, instance := range reply.Instances {
+			inForce, renewed := "not reported", "never"
+			if instance.Renewed >= 0 {
+				inForce = instance.InForce.Round(time.Second).String()
+				renewed = instance.Renewed.Round(100*time.Millisecond).String() + " ago"
+			}
+
+			fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", instance.Incarnation, instance.Role,
+				instance.Service, instance.Zone, instance.Data, instance.State, instance.Weight, instance.Position,
+				inForce, renewed)
 		}
-
-		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", instance.Incarnation, instance.Role,
-			instance.Service, instance.Zone, instance.Data, instance.State, instance.Weight, instance.Position,
-			inForce, renewed)
-	}
-
-	_ = table.Flush() // standard output: nothing is left to tell the operator with
+	})
 }
--- a/internal/cli/cmd/validate.go
+++ b/internal/cli/cmd/validate.go
@@ -4,13 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
 
-	"jayspindle/internal/protocol/control"
 	"jayspindle/internal/state/document"
 )
 
@@ -114,17 +112,3 @@
 
 	return result, nil
 }
-
-// readAll reads a document and refuses one that no controller would take.
-func readAll(reader io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(reader, control.MaxDocument+1))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-
-	if len(data) > control.MaxDocument {
-		return nil, errors.Errorf("the document exceeds %d bytes", control.MaxDocument)
-	}
-
-	return data, nil
-}
--- a/internal/testing/capacity/callercost.go
+++ b/internal/testing/capacity/callercost.go
@@ -35,7 +35,7 @@
 
 // callers opens connections to an HTTP/3 server that is set up as an agent's.
 // For the memory of the server alone, the callers' sockets are closed without
-// a word: the server keeps its connections until its idle timeout.
+// notice: the server keeps its connections until its idle timeout.
 var callers = probe{
 	name: "callers", per: "connection", sizes: []int{50, 100, 200, 400},
 	labels: []label{
--- a/internal/testing/capacity/packetcost.go
+++ b/internal/testing/capacity/packetcost.go
@@ -108,8 +108,8 @@
 	return view.ServiceID(number%targetServices + 1), packet
 }
 
-// distinct is the number of packets that are sent in turn.
-const distinct = 4096
+// distinctPackets is the number of packets that are sent in turn.
+const distinctPackets = 4096
 
 // forwarder receives and forwards datagrams and measures its own thread.
 type forwarder struct {
@@ -153,7 +153,7 @@
 // datagrams. The sender waits for each batch, so that none is lost.
 func forwarded(engine *forward.Balancer, count int, packet func(int) (view.ServiceID, []byte)) (float64, error) {
 	f := &forwarder{worker: engine.Worker(), outbox: udp.NewOutbox(batchSize)}
-	packets := make([][]byte, distinct)
+	packets := make([][]byte, distinctPackets)
 
 	for i := range packets {
 		service, data := packet(i)
