Derive the size of stored answers in the capacity rows from constants

The row for records of 4 KiB subtracted 200 from 4096 in its formula, and the probe it builds on stated the 200 again. Both use answerBytes and claim.MaxAnswer now, so that a change of either reaches the row.

--- a/internal/testing/capacity/leasecost.go
+++ b/internal/testing/capacity/leasecost.go
@@ -154,8 +154,11 @@
 	},
 }
 
-// claims measures at-most-once records with tokens of 36 bytes and answers of
-// 200 bytes.
+// answerBytes is the size of the stored answers that are measured.
+const answerBytes = 200
+
+// claims measures at-most-once records with tokens of 36 bytes, the length of a
+// UUID.
 var claims = probe{
 	name: "at-most-once records", per: "record", sizes: []int{7500, 15_000, 30_000, claimRecords},
 	labels: []label{
@@ -173,7 +176,7 @@
 				}
 				store.Handle(start, request)
 
-				request.Verb, request.Answer = claim.Complete, claim.NewAnswer(make([]byte, 200))
+				request.Verb, request.Answer = claim.Complete, claim.NewAnswer(make([]byte, answerBytes))
 				store.Handle(start, request)
 			}
 
--- a/internal/testing/capacity/rows.go
+++ b/internal/testing/capacity/rows.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"jayspindle/internal/coordination/claim"
 	"jayspindle/internal/coordination/rollout"
 	"jayspindle/internal/state/document"
 )
@@ -93,7 +94,7 @@
 		},
 		value: func(r repetition) float64 {
 			return heapGrowth * (r.at(ViewMemory, targetAgents) + r.slope(LinkMemory) +
-				r.at(ClaimMemory, claimRecords) + claimRecords*(4096-200))
+				r.at(ClaimMemory, claimRecords) + claimRecords*(claim.MaxAnswer-answerBytes))
 		},
 	},
 	{
