--- a/internal/cli/cmd/members.go
+++ b/internal/cli/cmd/members.go
@@ -4,10 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/netip"
-	"os"
 	"strconv"
-	"text/tabwriter"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
@@ -79,14 +78,10 @@
 }
 
 func showMembers(reply control.MembersReply) {
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "REPLICA\tADDRESS\tVOTER\tSTORED INDEX")
-
-	for _, member := range reply.Members {
-		fmt.Fprintf(table, "%016x\t%s\t%t\t%d\n", member.Replica, member.Address, member.Voter, member.Match)
-	}
-
-	_ = table.Flush() // standard output: nothing is left to tell the operator with
-
+	printTable("REPLICA\tADDRESS\tVOTER\tSTORED INDEX", func(table io.Writer) {
+		for _, member := range reply.Members {
+			fmt.Fprintf(table, "%016x\t%s\t%t\t%d\n", member.Replica, member.Address, member.Voter, member.Match)
+		}
+	})
 	fmt.Printf("leader: %s\n", reply.Leader)
 }
