--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -21,6 +21,8 @@
 	// resendEvery is the time between two copies of a message, so that a holder
 	// gets up to ten within ClaimTimeout.
 	resendEvery = 100 * time.Millisecond
+	// idleWake is far enough away for Wake to mean never.
+	idleWake = time.Hour
 )
 
 // Verdict is what a claimant decided.
@@ -157,11 +159,16 @@
 
 // Wake returns when Tick and Messages must be called next.
 func (c *Claimant) Wake() time.Time {
-	if timeout := c.began.Add(ClaimTimeout); c.decision.Verdict == Pending && timeout.Before(c.nextSend) {
+	timeout := c.began.Add(ClaimTimeout)
+
+	switch {
+	case c.decision.Verdict == Pending && timeout.Before(c.nextSend):
 		return timeout
+	case c.decision.Verdict == Run && c.closing == nil:
+		return c.began.Add(idleWake) // nothing is due while the request runs
+	default:
+		return c.nextSend
 	}
-
-	return c.nextSend
 }
 
 // Done reports whether the claimant can be dropped.
--- a/internal/coordination/claim/message.go
+++ b/internal/coordination/claim/message.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,8 +18,12 @@
 	MaxAnswer = 4 << 10
 	// maxMessage bounds an encoded Request or Reply in bytes.
 	maxMessage = MaxAnswer + 1<<10
-	// maxBulk bounds an encoded Transfer or Past in bytes.
-	maxBulk = DefaultCapacity * maxMessage
+	// MaxCapacity is the largest number of records of a store. More could not be
+	// transferred: the decoder takes arrays of 65,536 elements.
+	MaxCapacity = 60_000
+	// maxBulk bounds an encoded Transfer or Past in bytes: the largest store with
+	// the largest answers.
+	maxBulk = MaxCapacity * maxMessage
 )
 
 // Key identifies a request across resends.
@@ -140,15 +146,16 @@
 		return Request{}, err
 	}
 
-	if request.Verb < Grant || request.Verb > Lookup {
-		return Request{}, newError("decode request", KindEncoding, errors.Errorf("verb %d is not known", request.Verb))
-	}
+	return request, request.Check()
+}
 
-	if err := check(request.Key, request.Answer); err != nil {
-		return Request{}, err
+// Check reports the first field that is not allowed.
+func (r *Request) Check() error {
+	if r.Verb < Grant || r.Verb > Lookup {
+		return newError("check request", KindEncoding, errors.Errorf("verb %d is not known", r.Verb))
 	}
 
-	return request, nil
+	return check(r.Key, r.Answer)
 }
 
 // DecodeReply decodes and checks a Reply.
@@ -158,15 +165,16 @@
 		return Reply{}, err
 	}
 
-	if reply.Status < Granted || reply.Status > Unseated {
-		return Reply{}, newError("decode reply", KindEncoding, errors.Errorf("status %d is not known", reply.Status))
-	}
+	return reply, reply.Check()
+}
 
-	if err := check(reply.Key, reply.Answer); err != nil {
-		return Reply{}, err
+// Check reports the first field that is not allowed.
+func (r *Reply) Check() error {
+	if r.Status < Granted || r.Status > Unseated {
+		return newError("check reply", KindEncoding, errors.Errorf("status %d is not known", r.Status))
 	}
 
-	return reply, nil
+	return check(r.Key, r.Answer)
 }
 
 // DecodeTransfer decodes and checks a Transfer.
@@ -200,13 +208,20 @@
 		return Past{}, err
 	}
 
-	for _, era := range past.Eras {
-		if era.Age < 0 || past.Covers < 0 || len(era.Members) == 0 {
-			return Past{}, newError("decode past", KindLimit, errors.Errorf("era at %s is not valid", era.Position))
+	return past, past.Check()
+}
+
+// Check reports the first membership that is not allowed. Members must rise by
+// incarnation, because ties between holders go to the first.
+func (p *Past) Check() error {
+	for _, era := range p.Eras {
+		sorted := slices.IsSortedFunc(era.Members, func(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+		if era.Age < 0 || p.Covers < 0 || len(era.Members) == 0 || !sorted {
+			return newError("check past", KindLimit, errors.Errorf("era at %s is not valid", era.Position))
 		}
 	}
 
-	return past, nil
+	return nil
 }
 
 func decode[M any](encoded []byte, limit int) (M, error) {
--- a/internal/program/agent/agent.go
+++ b/internal/program/agent/agent.go
@@ -27,6 +27,7 @@
 
 	"jayspindle/internal/coordination/admission"
 	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/program/group"
 	"jayspindle/internal/program/member"
 	"jayspindle/internal/program/telemetry"
 	"jayspindle/internal/protocol/connid"
@@ -235,33 +236,26 @@
 	living, stop := context.WithCancel(context.WithoutCancel(ctx))
 	ctx, fail := context.WithCancelCause(ctx)
 
-	var group conc.WaitGroup
+	parts := group.New(fail)
 
-	defer group.Wait()
+	defer parts.Wait()
 	defer stop()
 
 	for _, part := range []func(context.Context){
 		a.gate.run, a.member.Run, a.claims.run,
 		func(ctx context.Context) { a.backend.watchHealth(ctx, a.healthChanged) },
 	} {
-		group.Go(func() {
-			defer failOnPanic(fail)
-
-			part(living)
-		})
+		parts.Go(func() { part(living) })
 	}
 
-	group.Go(func() {
+	parts.Go(func() {
 		select {
 		case <-a.member.Replaced():
 			fail(errReplaced)
 		case <-living.Done():
 		}
 	})
-
-	group.Go(func() {
-		defer failOnPanic(fail)
-
+	parts.Go(func() {
 		if err := a.peers.Serve(living, peerGrace); err != nil {
 			a.logger.Error("peer links ended", "error", err)
 		}
@@ -281,19 +275,6 @@
 // the former one any more.
 var errReplaced = errors.New("the controllers have forgotten the agent, it must start anew")
 
-// errPanicked ends an agent of which a part has panicked.
-var errPanicked = errors.New("a part of the agent has panicked")
-
-// failOnPanic ends the agent when a part panics, for example on a violated
-// invariant. The wait group raises the panic again when Run ends; until then
-// requests would wait for a part that is gone.
-func failOnPanic(fail context.CancelCauseFunc) {
-	if cause := recover(); cause != nil {
-		fail(errPanicked)
-		panic(cause)
-	}
-}
-
 // serve accepts flows until the context ends, then drains.
 func (a *Agent) serve(ctx context.Context) error {
 	listener, transport, err := a.listen(a.member.View())
@@ -301,27 +282,27 @@
 		return err
 	}
 
-	var group conc.WaitGroup
+	var flows conc.WaitGroup
 
-	group.Go(func() { a.accept(listener) })
+	flows.Go(func() { a.accept(listener) })
 	a.observed.SetReady(true)
 	a.logger.Info("serving", "service", a.config.Service, "incarnation", a.member.Incarnation(),
 		"data", a.config.Data.String())
 
 	<-ctx.Done()
 
-	if cause := context.Cause(ctx); errors.Is(cause, errPanicked) || errors.Is(cause, errReplaced) {
+	if cause := context.Cause(ctx); errors.Is(cause, group.ErrPanicked) || errors.Is(cause, errReplaced) {
 		// Nothing can be finished without that part or from the former
 		// incarnation. The flows are cut.
 		_ = listener.Close()
 		_ = transport.Close()
-		group.Wait()
+		flows.Wait()
 
 		return cause
 	}
 
 	a.drain(context.WithoutCancel(ctx), listener)
-	group.Wait()
+	flows.Wait()
 
 	return errors.Trace(transport.Close())
 }
--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -22,7 +22,7 @@
 	maxUnconfirmed = 10 * time.Minute
 	// defaultCapacity bounds the claims of one agent: 100 a second for the
 	// retention, at most 250 MB if every answer has the largest size.
-	defaultCapacity = 60_000
+	defaultCapacity = claim.MaxCapacity
 	claimCall       = 500 * time.Millisecond
 	// maxCalls bounds the calls in progress to one holder. Claimants repeat what
 	// is not answered, so that a silent holder would collect thousands.
--- a/internal/program/agent/gate.go
+++ b/internal/program/agent/gate.go
@@ -65,14 +65,18 @@
 
 	select {
 	case g.events <- func(now time.Time) { event(now); close(done) }:
-		<-done
-
-		return true
 	case <-g.stopped:
 		return false
 	case <-ctx.Done():
 		return false
 	}
+
+	select {
+	case <-done:
+		return true
+	case <-g.stopped:
+		return false // the event panicked
+	}
 }
 
 // settle hands decisions to the requests that wait for them.
--- a/internal/program/agent/handler.go
+++ b/internal/program/agent/handler.go
@@ -30,7 +30,7 @@
 func (h *handler) ServeHTTP(response http.ResponseWriter, request *http.Request) {
 	class, ok := h.matcher().Match(request.Method, request.URL.Path)
 	if !ok {
-		refuse(response, http.StatusNotFound, "no class of the service matches "+request.Method+" "+request.URL.Path)
+		refuse(response, http.StatusNotFound, "no class of the service matches method and path")
 
 		return
 	}
--- a/internal/program/agent/runonce.go
+++ b/internal/program/agent/runonce.go
@@ -150,6 +150,10 @@
 		return unknown(causeClaim, "the stored answer cannot be decoded: "+err.Error())
 	}
 
+	if stored.Header == nil {
+		stored.Header = make(http.Header) // an answer without headers decodes to none
+	}
+
 	stored.Header.Set(headerOutcome, outcomeReplayed)
 
 	return answer(stored.Status, stored.Header, stored.Body)
--- a/internal/program/agent/seats.go
+++ b/internal/program/agent/seats.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 
@@ -44,6 +43,9 @@
 	Established bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Check reports the first field that is not allowed.
+func (p *pastReply) Check() error { return p.Past.Check() }
+
 // covers reports whether the reply leads up to the newest membership of own.
 func (p *pastReply) covers(own claim.Past) bool {
 	if len(p.Past.Eras) == 0 || len(own.Eras) == 0 {
@@ -409,8 +411,8 @@
 
 	defer delete(c.incoming, part.Seat)
 
-	var transfer claim.Transfer
-	if err := cbor.Unmarshal(received.bytes, &transfer); err != nil {
+	transfer, err := claim.DecodeTransfer(received.bytes)
+	if err != nil {
 		return errors.Trace(err)
 	}
 
--- a/internal/program/agent/settings.go
+++ b/internal/program/agent/settings.go
@@ -26,8 +26,8 @@
 	Backend       netip.AddrPort `yaml:"backend" validate:"required"` // HTTP/1.1 of the backend server
 	HealthPath    string         `yaml:"health_path" validate:"omitempty,startswith=/"`
 	DrainTimeout  time.Duration  `yaml:"drain_timeout" validate:"min=1s,max=24h"`
-	ClaimsAtMost  int            `yaml:"claims_at_most" validate:"min=0,max=10000000"` // 0 means the default
-	BackendSilent time.Duration  `yaml:"backend_silence" validate:"min=0,max=10m"`     // 0 means the default
+	ClaimsAtMost  int            `yaml:"claims_at_most" validate:"min=0,max=60000"` // 0 means the default
+	BackendSilent time.Duration  `yaml:"backend_silence" validate:"min=0,max=10m"`  // 0 means the default
 }
 
 // TLS names the certificate that callers see and its key.
--- a/internal/program/balancer/balancer.go
+++ b/internal/program/balancer/balancer.go
@@ -22,11 +22,11 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"jayspindle/internal/coordination/forward"
+	"jayspindle/internal/program/group"
 	"jayspindle/internal/program/member"
 	"jayspindle/internal/program/telemetry"
 	"jayspindle/internal/protocol/connid"
@@ -146,14 +146,14 @@
 // Run forwards until the context ends and the linger time has passed.
 func (b *Balancer) Run(ctx context.Context) error {
 	living, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, fail := context.WithCancelCause(ctx)
+	parts := group.New(fail)
 
-	var group conc.WaitGroup
-
-	defer group.Wait()
+	defer parts.Wait()
 	defer stop()
 
-	group.Go(func() { b.member.Run(living) })
-	group.Go(func() { b.relay.run(living) })
+	parts.Go(func() { b.member.Run(living) })
+	parts.Go(func() { b.relay.run(living) })
 
 	if err := b.member.Wait(ctx); err != nil {
 		for _, socket := range b.data {
@@ -168,7 +168,7 @@
 	b.publishCounters(engine)
 
 	for _, socket := range b.data {
-		group.Go(func() { b.serve(socket, b.fromAgents()) })
+		parts.Go(func() { b.serve(socket, b.fromAgents()) })
 	}
 
 	b.apply(b.member.View())
@@ -218,13 +218,16 @@
 func (b *Balancer) close() error {
 	b.services.close()
 
+	var failed error
+
+	// A socket that has failed cannot be stopped, which must not keep the others.
 	for _, socket := range b.data {
 		if err := socket.Stop(); err != nil {
-			return errors.Trace(err)
+			failed = errors.Trace(err)
 		}
 	}
 
-	return nil
+	return failed
 }
 
 func (b *Balancer) serve(socket *udp.Socket, handle func(*udp.Batch)) {
--- a/internal/program/controller/controller.go
+++ b/internal/program/controller/controller.go
@@ -44,6 +44,7 @@
 	"jayspindle/internal/coordination/lease"
 	"jayspindle/internal/coordination/raft"
 	"jayspindle/internal/coordination/rollout"
+	"jayspindle/internal/program/group"
 	"jayspindle/internal/state/catalog"
 	"jayspindle/internal/state/wal"
 	"jayspindle/internal/transport/identity"
@@ -161,8 +162,9 @@
 	defer stopOwning()
 
 	var (
-		group, owners conc.WaitGroup
-		closing       error
+		parts   = group.New(stopServing)
+		owners  conc.WaitGroup
+		closing error
 	)
 
 	// A panic, such as a violated invariant, stops the controller too; waiting
@@ -174,14 +176,14 @@
 			stopServing(err)
 		}
 	})
-	group.Go(func() {
+	parts.Go(func() {
 		defer stopServing(nil)
 
 		closing = c.server.Serve(serving, shutdownGrace)
 	})
-	group.Go(func() { c.enter(serving, owner, stopServing) })
-	group.Go(func() { c.followReads(serving) })
-	group.Go(func() { c.serveDebug(serving) })
+	parts.Go(func() { c.enter(serving, owner, stopServing) })
+	parts.Go(func() { c.followReads(serving) })
+	parts.Go(func() { c.serveDebug(serving) })
 
 	select {
 	case <-ctx.Done():
@@ -190,7 +192,7 @@
 	}
 
 	stopServing(nil)
-	group.Wait()
+	parts.Wait()
 	stopOwning()
 	c.network.close()
 	owners.Wait()
--- a/internal/program/controller/controller_test.go
+++ b/internal/program/controller/controller_test.go
@@ -36,7 +36,7 @@
 }
 
 // subscribe follows the trial views of one controller.
-func (g *group) subscribe(target *instance) *sink {
+func (g *fleet) subscribe(target *instance) *sink {
 	g.t.Helper()
 
 	client := g.client(identity.Identity{Role: identity.RoleBalancer, Environment: "trial", Name: "b"}, target)
@@ -127,7 +127,7 @@
 // Guards against an isolated controller that serves an old read, or that
 // passes off its views as confirmed.
 func TestCutController(t *testing.T) {
-	for name, pick := range map[string]func(*group) int{"follower": (*group).follower, "leader": (*group).leader} {
+	for name, pick := range map[string]func(*fleet) int{"follower": (*fleet).follower, "leader": (*fleet).leader} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			g := newGroup(t, 3)
@@ -167,7 +167,7 @@
 }
 
 // leaderAmong reports whether one of the controllers answers reads itself.
-func (g *group) leaderAmong(controllers ...*instance) bool {
+func (g *fleet) leaderAmong(controllers ...*instance) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, time.Second)
 	defer cancel()
 
--- a/internal/program/controller/convert.go
+++ b/internal/program/controller/convert.go
@@ -89,7 +89,7 @@
 // refusalKind translates the kind of a refusal for callers that get an error.
 func refusalKind(kind catalog.Kind) link.Kind {
 	switch kind {
-	case catalog.KindConflict, catalog.KindReused, catalog.KindSuperseded:
+	case catalog.KindConflict, catalog.KindReused, catalog.KindSuperseded, catalog.KindInUse:
 		return link.KindConflict
 	case catalog.KindUnknownMember, catalog.KindUnknownService:
 		return link.KindNotFound
--- a/internal/program/controller/fixture_test.go
+++ b/internal/program/controller/fixture_test.go
@@ -27,7 +27,7 @@
 const testLimit = 40 * time.Second
 
 // group runs controllers with real links on loopback.
-type group struct {
+type fleet struct {
 	t         *testing.T
 	ctx       context.Context
 	directory string
@@ -54,13 +54,13 @@
 	return err
 }
 
-func newGroup(t *testing.T, size int) *group {
+func newGroup(t *testing.T, size int) *fleet {
 	t.Helper()
 
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
 
-	g := &group{t: t, ctx: ctx, directory: t.TempDir(), owners: make(map[string]*identity.PrivateKey)}
+	g := &fleet{t: t, ctx: ctx, directory: t.TempDir(), owners: make(map[string]*identity.PrivateKey)}
 
 	var err error
 
@@ -108,7 +108,7 @@
 	return g
 }
 
-func (g *group) path(name string) string { return filepath.Join(g.directory, name) }
+func (g *fleet) path(name string) string { return filepath.Join(g.directory, name) }
 
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
@@ -120,7 +120,7 @@
 	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-func (g *group) files(holder identity.Identity) identity.Files {
+func (g *fleet) files(holder identity.Identity) identity.Files {
 	g.t.Helper()
 
 	g.issued++
@@ -134,7 +134,7 @@
 	return files
 }
 
-func (g *group) start(settings Settings) *instance {
+func (g *fleet) start(settings Settings) *instance {
 	g.t.Helper()
 
 	g.issued++
@@ -152,7 +152,7 @@
 }
 
 // client returns a client of the given controllers, of all without any.
-func (g *group) client(holder identity.Identity, targets ...*instance) *Client {
+func (g *fleet) client(holder identity.Identity, targets ...*instance) *Client {
 	g.t.Helper()
 
 	var addresses []netip.AddrPort
@@ -178,10 +178,10 @@
 
 var operatorIdentity = identity.Identity{Role: identity.RoleOperator, Environment: "all", Name: "operator"}
 
-func (g *group) operator(targets ...*instance) *Client { return g.client(operatorIdentity, targets...) }
+func (g *fleet) operator(targets ...*instance) *Client { return g.client(operatorIdentity, targets...) }
 
 // eventually waits until a condition holds; the test fails if it never does.
-func (g *group) eventually(what string, holds func() bool) {
+func (g *fleet) eventually(what string, holds func() bool) {
 	g.t.Helper()
 
 	for !holds() {
@@ -193,7 +193,7 @@
 	}
 }
 
-func (g *group) waitVoters(count int) {
+func (g *fleet) waitVoters(count int) {
 	g.t.Helper()
 
 	operator := g.operator()
@@ -214,7 +214,7 @@
 }
 
 // leader returns the index of the leader.
-func (g *group) leader() int {
+func (g *fleet) leader() int {
 	g.t.Helper()
 
 	reply, err := g.operator().Status(g.ctx, catalog.Trial)
@@ -231,7 +231,7 @@
 	return 0
 }
 
-func (g *group) follower() int { return (g.leader() + 1) % len(g.settings) }
+func (g *fleet) follower() int { return (g.leader() + 1) % len(g.settings) }
 
 // documentOf returns a document whose service has the given key and slots.
 func documentOf(key ed25519.PublicKey, slots int) []byte {
@@ -255,7 +255,7 @@
 }
 
 // accept submits a document and signs it as both owners.
-func (g *group) accept(operator *Client, base uint64, id string, content []byte) {
+func (g *fleet) accept(operator *Client, base uint64, id string, content []byte) {
 	g.t.Helper()
 
 	is := is.New(g.t)
--- a/internal/state/catalog/announce.go
+++ b/internal/state/catalog/announce.go
@@ -44,6 +44,11 @@
 	}
 
 	replaced, replaces := e.addresses[command.Data]
+	if holder := e.members[replaced]; replaces && holder.activeElsewhere(command.Role, service) {
+		return refuse(KindInUse, "address %s belongs to active incarnation %d of another service or role",
+			command.Data, replaced), false
+	}
+
 	if refusal := e.checkCapacity(command.Role, replaced); refusal != nil {
 		return *refusal, false
 	}
--- a/internal/state/catalog/error.go
+++ b/internal/state/catalog/error.go
@@ -21,6 +21,7 @@
 	KindSuperseded     Kind = "superseded"      // the boot ID left or was replaced
 	KindDraining       Kind = "draining"        // the agent is leaving, so its weight stays 0
 	KindFull           Kind = "full"            // a bound on the size of the state is reached
+	KindInUse          Kind = "in-use"          // the data address belongs to an active member of another service or role
 )
 
 // Error is the error type of this package.
--- a/internal/state/catalog/member.go
+++ b/internal/state/catalog/member.go
@@ -55,6 +55,13 @@
 	return m.State
 }
 
+// activeElsewhere reports whether the member is in use for another service or
+// role. The key of one service must not suffice to remove agents of another;
+// once their lease has run out, their address is free.
+func (m member) activeElsewhere(role Role, service view.ServiceID) bool {
+	return m.Expired == 0 && m.State == view.Active && (m.Role != role || m.Service != service)
+}
+
 func (m member) result() Result {
 	return Result{Incarnation: m.Incarnation, Weight: m.Weight, Flapping: m.Flapping}
 }
@@ -150,7 +157,7 @@
 	var gone []view.Incarnation
 
 	for incarnation, known := range e.members {
-		if known.Expired != 0 && now-known.Expired >= int64(keptSuspended) {
+		if known.Expired != 0 && now > known.Expired && distance(known.Expired, now) >= uint64(keptSuspended) {
 			gone = append(gone, incarnation)
 		}
 	}
--- a/internal/state/catalog/member_test.go
+++ b/internal/state/catalog/member_test.go
@@ -149,3 +149,15 @@
 		is.Equal(key.Secret[0], byte(10-i)) // newest first, none left out
 	}
 }
+
+// Guards against the holder of one service's key who removes agents of another
+// service by announcing their addresses.
+func TestAddressOfAnotherService(t *testing.T) {
+	l := newLog(t)
+	l.accept(Trial, yamlOf(2, "one"))
+	l.ok(announceOf("s0", 1, 1))
+	l.refused(KindInUse, announceOf("s1", 1, 2))
+
+	l.ok(Command{Expire: &Expire{Environment: Trial, Incarnations: []view.Incarnation{1}}})
+	is.New(t).Equal(l.ok(announceOf("s1", 1, 2)).Removed, []view.Incarnation{1}) // the address is free
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -76,12 +76,16 @@
 		return nil, newError("decode", KindSyntax, errors.Errorf("%s:%s", name, syntaxFault(err)))
 	}
 
-	faults := validate(decoded)
-	if len(faults) == 0 {
+	faults, err := validate(decoded)
+
+	switch {
+	case err != nil:
+		return nil, newError("validate", KindInvalid, errors.Annotate(err, name))
+	case len(faults) > 0:
+		return nil, newError("validate", KindInvalid, locate(name, data, faults))
+	default:
 		return decoded, nil
 	}
-
-	return nil, newError("validate", KindInvalid, locate(name, data, faults))
 }
 
 func unmarshalAddrPort(address *netip.AddrPort, text []byte) error {
@@ -107,7 +111,9 @@
 	return "1:1: " + err.Error()
 }
 
-func validate(value any) validator.ValidationErrors {
+// validate returns the faults of the values, or the error of a type that cannot
+// be validated.
+func validate(value any) (validator.ValidationErrors, error) {
 	check := validator.New(validator.WithRequiredStructEnabled())
 	check.RegisterTagNameFunc(func(field reflect.StructField) string {
 		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
@@ -116,11 +122,13 @@
 	})
 
 	var faults validator.ValidationErrors
-	if errors.As(check.Struct(value), &faults) {
-		return faults
+
+	err := check.Struct(value)
+	if errors.As(err, &faults) {
+		return faults, nil
 	}
 
-	return nil
+	return nil, errors.Trace(err)
 }
 
 // locate lists all faults, each with the line of its key or of the nearest
--- a/internal/state/view/types.go
+++ b/internal/state/view/types.go
@@ -139,3 +139,6 @@
 func (k Key) String() string {
 	return fmt.Sprintf("key(%d)", k.ID)
 }
+
+// GoString omits the secret from the %#v verb too.
+func (k Key) GoString() string { return k.String() }
--- a/internal/transport/identity/key.go
+++ b/internal/transport/identity/key.go
@@ -113,7 +113,7 @@
 	encoded, ok := strings.CutPrefix(text, publicKeyPrefix)
 	if !ok {
 		return nil, newError("parse public key", KindInvalid,
-			errors.Errorf("%q does not start with %q", text, publicKeyPrefix))
+			errors.Errorf("the text does not start with %q", publicKeyPrefix))
 	}
 
 	key, err := base64.StdEncoding.DecodeString(encoded)
