--- a/internal/cli/cmd/members.go
+++ b/internal/cli/cmd/members.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"github.com/google/subcommands"
@@ -43,6 +44,10 @@
 }
 
 func (c *membersCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !slices.Contains([]string{"list", "add", "promote", "remove"}, c.action) {
+		return usage("members: -action %q is not one of list, add, promote, remove", c.action)
+	}
+
 	return c.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
 		reply, err := c.act(ctx, client)
 
--- a/internal/cli/cmd/sign.go
+++ b/internal/cli/cmd/sign.go
@@ -39,6 +39,10 @@
 	ctx context.Context, decision document.Decision,
 	send func(ctx context.Context, client *controller.Client, signed control.Sign) (control.ChangeReply, error),
 ) subcommands.ExitStatus {
+	if s.owner == "" || s.key == "" || (s.file == "") == (s.digest == "") {
+		return usage("-owner, -key and either -file or -digest are needed")
+	}
+
 	return s.run(ctx, func(ctx context.Context, client *controller.Client) (any, func(), error) {
 		signed, err := s.sign(ctx, client, decision)
 		if err != nil {
--- a/internal/cli/cmd/submit.go
+++ b/internal/cli/cmd/submit.go
@@ -48,8 +48,8 @@
 }
 
 func (c *submitCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.author == "" {
-		return usage("submit: -author is missing")
+	if c.author == "" || c.file == "" {
+		return usage("submit: -author and -file are needed")
 	}
 
 	data, err := readDocument(c.file)
--- a/internal/program/controller/owner.go
+++ b/internal/program/controller/owner.go
@@ -210,6 +210,7 @@
 		switch entry.Kind {
 		case wal.EntryCommand:
 			outcome.result = o.state.Apply(entry.Index, entry.Data)
+			countCommand(outcome.result)
 			o.follow(now, outcome.result)
 		case wal.EntryMembership:
 			o.learnAddresses()
--- a/internal/program/load/load_test.go
+++ b/internal/program/load/load_test.go
@@ -61,7 +61,7 @@
 	count := func(runs map[string]int) *Result {
 		result := newResult()
 		for key, outcome := range map[string]outcome{
-			"once": answered, "twice": answered, "lost": answered, "phantom": notRun, "refused": notRun,
+			"once": answered, "twice": answered, "lost": answered, "ran_after_refusal": notRun, "refused": notRun,
 			"maybe": unknown, "maybe not": failed,
 		} {
 			result.record("s", Request{Class: "c", Deadline: time.Second}, key, attemptResult{outcome: outcome}, 0, 0)
@@ -75,7 +75,7 @@
 	result := count(runs)
 	is.Equal(result.RunTwice, int64(1))
 	is.Equal(result.Lost, int64(1))
-	is.Equal(result.Phantom, int64(1))
+	is.Equal(result.RanAfterRefusal, int64(1))
 	is.Equal(result.Classes[0].Requests, int64(7))
 	is.True(!result.Kept())
 	is.Equal(count(nil).Lost, int64(0)) // nothing is compared without ledgers
@@ -87,7 +87,7 @@
 		func(r *Result) *int64 { return &r.FeedStalls },
 		func(r *Result) *int64 { return &r.RunTwice },
 		func(r *Result) *int64 { return &r.Lost },
-		func(r *Result) *int64 { return &r.Phantom },
+		func(r *Result) *int64 { return &r.RanAfterRefusal },
 	} {
 		bad := newResult()
 		is.True(bad.Kept())
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -65,12 +65,12 @@
 	FeedStalls     int64          `json:"feed_stalls"` // no event for the feed_silence of the workload
 	Imbalance      float64        `json:"imbalance"`   // busiest over mean, present throughout
 	// BackendServers counts answers by service and backend server.
-	BackendServers map[string]map[string]*ServerResult `json:"backend_servers"`
-	RunTwice       int64                               `json:"run_twice"`
-	Lost           int64                               `json:"lost"`     // answered, but in no ledger
-	Phantom        int64                               `json:"phantom"`  // refused with "not run", but in a ledger
-	Recorded       int64                               `json:"recorded"` // keys in the ledgers
-	Reasons        map[string]int64                    `json:"reasons"`  // why requests were not answered
+	BackendServers  map[string]map[string]*ServerResult `json:"backend_servers"`
+	RunTwice        int64                               `json:"run_twice"`
+	Lost            int64                               `json:"lost"`              // answered, but in no ledger
+	RanAfterRefusal int64                               `json:"ran_after_refusal"` // "not run", but in a ledger
+	Recorded        int64                               `json:"recorded"`          // keys in the ledgers
+	Reasons         map[string]int64                    `json:"reasons"`           // why requests were not answered
 
 	mutex    sync.Mutex // guards everything above
 	classes  map[string]*ClassResult
@@ -211,7 +211,7 @@
 		case count == 0 && outcome == answered:
 			r.Lost++
 		case count == 1 && outcome == notRun:
-			r.Phantom++
+			r.RanAfterRefusal++
 		}
 	}
 }
@@ -259,7 +259,7 @@
 // Kept reports whether no flow broke, no feed lost or repeated an event, and
 // no request ran twice, was lost, or ran after it was refused with "not run".
 func (r *Result) Kept() bool {
-	broken := r.BrokenFlows + r.FeedGaps + r.FeedDuplicates + r.FeedStalls + r.RunTwice + r.Lost + r.Phantom
+	broken := r.BrokenFlows + r.FeedGaps + r.FeedDuplicates + r.FeedStalls + r.RunTwice + r.Lost + r.RanAfterRefusal
 	for _, class := range r.Classes {
 		broken += class.Mismatched + class.Failed
 	}
@@ -296,7 +296,7 @@
 		"flows\tbroken\tfeed events\tgaps\tduplicates\tstalls\tmoves\trun twice\tlost\tran after refusal\timbalance\t")
 	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n",
 		r.Flows, r.BrokenFlows, r.FeedEvents, r.FeedGaps, r.FeedDuplicates, r.FeedStalls, r.FeedMoves,
-		r.RunTwice, r.Lost, r.Phantom, r.Imbalance)
+		r.RunTwice, r.Lost, r.RanAfterRefusal, r.Imbalance)
 
 	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
 		fmt.Fprintf(table, "%d\tnot answered, %s\t\n", r.Reasons[reason], reason)
--- a/internal/testing/fleet/traffic_test.go
+++ b/internal/testing/fleet/traffic_test.go
@@ -35,7 +35,7 @@
 	served(t, result)
 	is.New(t).Equal(result.RunTwice, int64(0))
 	is.New(t).Equal(result.Lost, int64(0))
-	is.New(t).Equal(result.Phantom, int64(0))
+	is.New(t).Equal(result.RanAfterRefusal, int64(0))
 	is.New(t).Equal(result.FeedGaps, int64(0))
 	is.New(t).Equal(result.FeedDuplicates, int64(0))
 }
