--- a/internal/program/load/caller.go
+++ b/internal/program/load/caller.go
@@ -231,7 +231,7 @@
 		}
 	}
 
-	span.SetAttributes(attribute.Int("attempts", resent+1), attribute.Int("outcome", int(attempt.outcome)))
+	span.SetAttributes(attribute.Int("attempts", resent+1), attribute.String("outcome", attempt.outcome.String()))
 	c.client.result.record(c.workload.Service, request, key, attempt, resent, time.Since(started))
 }
 
--- a/internal/program/load/result.go
+++ b/internal/program/load/result.go
@@ -28,6 +28,11 @@
 	failed
 )
 
+// String returns the outcome as it appears in traces.
+func (o outcome) String() string {
+	return [...]string{answered: "answered", notRun: "not-run", unknown: "unknown", failed: "failed"}[o]
+}
+
 // ClassResult counts the requests of one class.
 type ClassResult struct {
 	Class      string  `json:"class"`
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -98,7 +98,7 @@
 
 # trial_load: prints settings for a short load on the instances of trial.
 trial_load() {
-	sed -e 's/^duration: .*/duration: 3s/' -e 's/callers: .*/callers: 2/' \
+	sed -e 's/^duration: .*/duration: 3s/' -e 's/load.trace/load-trial.trace/' -e 's/callers: .*/callers: 2/' \
 		-e 's/^  - {host: 127.0.1.1,.*/  - {host: 127.0.1.9}/' -e '/^  - {host: 127.0.1.[2-9],/d' \
 		-e '/^ledgers:/,$d' "$examples/load.yaml"
 	printf 'ledgers: [%s-trial.ledger]\n' "$first"
