Let the stand-in of make capacity announce instances of its view

Cause: make capacity ended with 'wait for instances: context deadline exceeded'. Since members wait for a view that contains their incarnation, the stand-in for the controllers must answer with one that its view has.

Change: it answers with the incarnations of the agents in its view.

--- a/internal/testing/capacity/linkcost.go
+++ b/internal/testing/capacity/linkcost.go
@@ -195,10 +195,15 @@
 
 		return &control.RenewReply{}, request.Decode(&message)
 	})
+	// Instances are ready once the view contains their incarnation.
+	members := g.current.Agents()
+
 	server.Handle(control.MethodAnnounce, func(_ context.Context, request *link.Request) (any, error) {
 		var message control.Announce
 
-		return &control.AnnounceReply{Incarnation: view.Incarnation(g.known.Add(1)), Weight: 100}, request.Decode(&message)
+		member := members[int(g.known.Add(1))%len(members)]
+
+		return &control.AnnounceReply{Incarnation: member.Incarnation, Weight: 100}, request.Decode(&message)
 	})
 
 	g.upstream = server.Address()
