Give the case of TestLedgers a key of its own

Change: the key and its ledger line are 'ran after refusal'; the other keys and all expectations are as they were.

--- a/internal/program/load/load_test.go
+++ b/internal/program/load/load_test.go
@@ -54,14 +54,14 @@
 func TestLedgers(t *testing.T) {
 	is := is.New(t)
 	name := filepath.Join(t.TempDir(), "ledger")
-	is.NoErr(os.WriteFile(name, []byte("once\ntwice\ntwice\nrefused\nmaybe\nother caller\n"), 0o600))
+	is.NoErr(os.WriteFile(name, []byte("once\ntwice\ntwice\nran after refusal\nmaybe\nother caller\n"), 0o600))
 	runs, err := backend.CountRuns(name)
 	is.NoErr(err)
 
 	count := func(runs map[string]int) *Result {
 		result := newResult()
 		for key, outcome := range map[string]outcome{
-			"once": answered, "twice": answered, "lost": answered, "refused": notRun, "refused": notRun,
+			"once": answered, "twice": answered, "lost": answered, "ran after refusal": notRun, "refused": notRun,
 			"maybe": unknown, "maybe not": failed,
 		} {
 			result.record("s", Request{Class: "c", Deadline: time.Second}, key, attemptResult{outcome: outcome}, 0, 0)
