Let the gate and the claims share the wait for an event

Cause: both waited for an event on an owning goroutine with the same fifteen lines, and the hang after a panic had to be mended in each of them.

Change: runOwned has the logic once; both keep a method do that calls it. The behaviour is the same.

--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -138,28 +138,9 @@
 	}
 }
 
-// do runs an event on the goroutine that owns the state and waits for it. It
-// reports false if the event has not run and will not. Once the event is in
-// the queue, the end of the context does not matter any more: an event that runs
-// after do has returned would change variables that its caller reads, and would
-// begin claims that nobody ends.
+// do runs an event on the goroutine that owns the state, see runOwned.
 func (c *claims) do(ctx context.Context, event func(now time.Time)) bool {
-	done := make(chan struct{})
-
-	select {
-	case c.events <- func(now time.Time) { event(now); close(done) }:
-	case <-c.stopped:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-
-	select {
-	case <-done:
-		return true
-	case <-c.stopped:
-		return false
-	}
+	return runOwned(ctx, c.events, c.stopped, event)
 }
 
 // post runs an event later, without waiting for it.
--- a/internal/program/agent/gate.go
+++ b/internal/program/agent/gate.go
@@ -57,26 +57,9 @@
 	}
 }
 
-// do runs an event on the goroutine that owns the scheduler and waits for it.
-// It reports false if the event did not run: the context ended first, or the
-// goroutine has ended.
+// do runs an event on the goroutine that owns the state, see runOwned.
 func (g *gate) do(ctx context.Context, event func(now time.Time)) bool {
-	done := make(chan struct{})
-
-	select {
-	case g.events <- func(now time.Time) { event(now); close(done) }:
-	case <-g.stopped:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-
-	select {
-	case <-done:
-		return true
-	case <-g.stopped:
-		return false // the event panicked
-	}
+	return runOwned(ctx, g.events, g.stopped, event)
 }
 
 // settle hands decisions to the requests that wait for them.
