Readmit ejected siblings when the others of a service leave

Cause: the ejection limit was checked only when a sibling was ejected. Ruled out: refusal pauses (Pick already retries without them) and siblings of weight 0 (the update that failed had none). Change: Update ends the ejections that expire first until the limit holds, and the limit counts active siblings only.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -118,6 +118,23 @@
 	}
 
 	p.known = known
+	p.readmit(now)
+}
+
+// readmit ends ejections until the upper limit holds again: siblings that
+// served in place of the ejected ones may have left.
+func (p *Picker) readmit(now time.Time) {
+	for p.Ejected(now) > p.maxEjected() {
+		var first *sibling
+
+		for _, s := range p.siblings {
+			if s.weight > 0 && s.ejected(now) && (first == nil || s.ejectedUntil.Before(first.ejectedUntil)) {
+				first = s
+			}
+		}
+
+		first.ejectedUntil = now
+	}
 }
 
 // Pick returns the sibling that runs the next request, and false if there is
@@ -206,7 +223,7 @@
 
 // eject takes a sibling out of the rotation unless too many are out already.
 func (p *Picker) eject(now time.Time, s *sibling) {
-	if s.ejected(now) || p.Ejected(now)+1 > len(p.siblings)*p.policy.MaxEjectedPercent/100 {
+	if s.weight <= 0 || s.ejected(now) || p.Ejected(now) >= p.maxEjected() {
 		return
 	}
 
@@ -214,16 +231,29 @@
 	s.ejections++
 	s.ejectedUntil = now.Add(min(lasts, p.policy.MaxEjection))
 
-	invariant.Assert(p.Ejected(now)*100 <= len(p.siblings)*p.policy.MaxEjectedPercent,
+	invariant.Assert(p.Ejected(now) <= p.maxEjected(),
 		"placement: ejection has an upper limit", slog.Int("ejected", p.Ejected(now)))
 }
 
-// Ejected returns the number of siblings that are ejected now.
+// maxEjected returns how many of the active siblings may be ejected at a time.
+func (p *Picker) maxEjected() int {
+	active := 0
+
+	for _, s := range p.siblings {
+		if s.weight > 0 {
+			active++
+		}
+	}
+
+	return active * p.policy.MaxEjectedPercent / 100
+}
+
+// Ejected returns the number of active siblings that are ejected now.
 func (p *Picker) Ejected(now time.Time) int {
 	ejected := 0
 
 	for _, s := range p.siblings {
-		if s.ejected(now) {
+		if s.weight > 0 && s.ejected(now) {
 			ejected++
 		}
 	}
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -149,6 +149,22 @@
 	}
 }
 
+// TestEjectionLimitAfterUpdate guards against a service without backend servers
+// when the siblings that were not ejected leave.
+func TestEjectionLimitAfterUpdate(t *testing.T) {
+	is := is.New(t)
+	agents := siblings(2)
+	picker := newPicker(agents)
+	spread(picker, start, 40, failing(1, 1))
+	is.Equal(picker.Ejected(start), 1)
+
+	picker.Update(start, agents[:1])
+	is.Equal(picker.Ejected(start), 0)
+
+	_, ok := picker.Pick(start)
+	is.True(ok)
+}
+
 // TestHung guards against a backend server that answers nothing and collects
 // the requests of its siblings.
 func TestHung(t *testing.T) {
