--- /dev/null
+++ b/internal/coordination/gate/gate.go
@@ -0,0 +1,408 @@
+// Package gate decides, at an agent, what happens to the packets of the flows
+// of its backend server. It holds no socket and no clock.
+//
+// # Usage
+//
+//	g := gate.New(gate.Config{Service: service, Boot: now})
+//	g.Follow(table)
+//	outcome, err := g.Report(now, report)     // what the backend server says of itself
+//	decision := g.FromClient(now, forwarder, header)
+//	decision = g.FromBackend(now, header)
+//	answer := g.Locate(key)
+//
+// # New flows
+//
+// The gate is the last to decide whether a new flow may start: the backend
+// server must be ready, and the document in force must allow its service for
+// the address. What entry instances believe may be older; it costs a round trip
+// at most. Once the backend server has said that it is leaving, no flow starts
+// there any more.
+//
+// # Open flows
+//
+// The gate sees both directions, so it knows which flows its backend server
+// holds. A gate that has started after its backend server is unsure of flows
+// that it has not seen: it delivers their packets, and the backend server
+// returns those of flows that it does not hold. A flow is reset only when the
+// backend server that held it has certainly ended.
+package gate
+
+import (
+	"time"
+
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
+)
+
+const (
+	// retention is how long a flow without packets is kept, above the idle
+	// timeouts of the deployments.
+	retention = 75 * time.Second
+
+	// closedRetention is how long a flow that both ends have closed is kept:
+	// their last packets may be repeated a few times.
+	closedRetention = 10 * time.Second
+
+	// sweepInterval is how often flows that are no longer used are forgotten.
+	sweepInterval = 5 * time.Second
+
+	// missedReports is the number of reports that a backend server may miss
+	// before no new flow starts there.
+	missedReports = 3
+
+	// learned is how long after its start a gate stays unsure of flows that it
+	// has not seen: the longest life of a flow in the deployments.
+	learned = 60 * time.Second
+)
+
+// Kind tells what to do with a packet.
+type Kind uint8
+
+// The kinds of decisions.
+const (
+	Drop     Kind = iota + 1
+	Deliver       // hand the packet to the backend server
+	Return        // return the packet to the entry instance at Forwarder
+	ToClient      // send the packet to the client
+	Reset         // reset the flow at its client
+)
+
+// Reason is why a packet was not delivered, as it appears in logs.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone     Reason = ""
+	ReasonUnknown  Reason = "the backend server has not reported recently"
+	ReasonLeaving  Reason = "the backend server is leaving"
+	ReasonEnded    Reason = "the backend server has ended"
+	ReasonNoRoute  Reason = "the document does not allow the service for the address"
+	ReasonFull     Reason = "the backend server cannot accept the flow"
+	ReasonNotHeld  Reason = "the backend server does not hold the flow"
+	ReasonReplaced Reason = "the backend server that held the flow has ended"
+	ReasonStray    Reason = "nobody waits for the packet"
+)
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Kind      Kind
+	Forwarder flow.Endpoint // of a Return, and of Accepted
+	Accepted  bool          // tell Forwarder that the flow was accepted
+	Found     bool          // tell Forwarder that the flow is held here
+	Reason    Reason
+}
+
+// Counters count what a Gate has decided.
+type Counters struct {
+	Accepted, Refused, Resets, Returned, Stray uint64
+}
+
+type heldState uint8
+
+const (
+	opening heldState = iota + 1 // the backend server was asked to accept
+	unsure                       // delivered without knowing whether the flow is held
+	open                         // the backend server has sent a packet of the flow
+)
+
+// held is one flow of the backend server.
+type held struct {
+	state     heldState
+	confirmed bool // the client uses the flow: it is not a second acceptance that nobody wants
+	born      int64
+	forwarder flow.Endpoint
+	last      time.Time
+	waiting   time.Time // since when the client waits for an answer; zero if it does not
+	closing   [2]bool   // client, backend server
+}
+
+func (h *held) closed() bool { return h.closing[0] && h.closing[1] }
+
+// Config holds what is fixed for a Gate.
+type Config struct {
+	Service string // of the backend server beside the agent
+	Boot    time.Time
+	// ReportInterval is the time between two reports of the backend server.
+	ReportInterval time.Duration
+}
+
+// Gate holds the flows of one backend server. One goroutine at a time uses it.
+type Gate struct {
+	config   Config
+	table    *route.Table
+	backend  backend
+	flows    map[flow.Key]*held
+	open     int // flows that are not closed
+	waiting  int // flows whose client waits
+	swept    time.Time
+	counters Counters
+	observe  func(wait time.Duration)
+}
+
+// New returns a gate that has not heard its backend server. Observe is called
+// with the time to the first byte of each answer.
+func New(config Config, observe func(wait time.Duration)) *Gate {
+	return &Gate{config: config, flows: make(map[flow.Key]*held), swept: config.Boot, observe: observe}
+}
+
+// Follow puts a document in force. Older versions are ignored.
+func (g *Gate) Follow(table *route.Table) {
+	if table.Version() > g.table.Version() {
+		g.table = table
+	}
+}
+
+// Version returns the version of the document in force.
+func (g *Gate) Version() uint64 { return g.table.Version() }
+
+// Counters returns the counts of decisions so far.
+func (g *Gate) Counters() Counters { return g.counters }
+
+// Load returns the load of the backend server.
+func (g *Gate) Load() roster.Load {
+	return roster.Load{Flows: uint16(min(g.open, 1<<16-1)), Waiting: uint16(min(g.waiting, 1<<16-1))}
+}
+
+// FromClient decides about a packet that an entry instance forwarded.
+func (g *Gate) FromClient(now time.Time, forwarder flow.Endpoint, header flow.Header) Decision {
+	key := header.Key()
+	h := g.flows[key]
+
+	// Packets of a flow whose backend server has ended must not reach the next
+	// one at the address.
+	if h != nil && (h.born != g.backend.born || g.backend.state == ended) && h.state != unsure {
+		g.forget(key, h)
+
+		if !header.Opens() {
+			g.counters.Resets++
+
+			return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonReplaced}
+		}
+
+		h = nil
+	}
+
+	if header.Opens() {
+		return g.opens(now, key, h, forwarder)
+	}
+
+	if h == nil {
+		if !g.unsure(now) {
+			g.counters.Returned++
+
+			return Decision{Kind: Return, Forwarder: forwarder, Reason: ReasonNotHeld}
+		}
+
+		h = g.add(now, key, unsure)
+	}
+
+	h.forwarder, h.last = forwarder, now
+	g.clientSent(now, key, h, header)
+
+	return Decision{Kind: Deliver}
+}
+
+// opens decides about the first packet of a flow.
+func (g *Gate) opens(now time.Time, key flow.Key, h *held, forwarder flow.Endpoint) Decision {
+	if h != nil {
+		h.forwarder, h.last = forwarder, now
+
+		return Decision{Kind: Deliver, Forwarder: forwarder, Accepted: h.state == open}
+	}
+
+	if reason := g.refusal(key); reason != ReasonNone {
+		g.counters.Refused++
+
+		return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
+	}
+
+	g.add(now, key, opening).forwarder = forwarder
+
+	return Decision{Kind: Deliver}
+}
+
+// refusal returns why a new flow must not start, or ReasonNone.
+func (g *Gate) refusal(key flow.Key) Reason {
+	switch g.backend.state {
+	case unheard, quiet:
+		return ReasonUnknown
+	case leaving:
+		return ReasonLeaving
+	case ended:
+		return ReasonEnded
+	case serving:
+	}
+
+	if found, ok := g.table.Find(key.Service); !ok || !found.Allows(g.config.Service) {
+		return ReasonNoRoute
+	}
+
+	return ReasonNone
+}
+
+func (g *Gate) add(now time.Time, key flow.Key, state heldState) *held {
+	h := &held{state: state, born: g.backend.born, last: now}
+	g.flows[key] = h
+	g.open++
+
+	return h
+}
+
+func (g *Gate) forget(key flow.Key, h *held) {
+	delete(g.flows, key)
+
+	if !h.closed() {
+		g.open--
+	}
+
+	if !h.waiting.IsZero() {
+		g.waiting--
+	}
+}
+
+// clientSent notes what a packet of the client does to its flow.
+func (g *Gate) clientSent(now time.Time, key flow.Key, h *held, header flow.Header) {
+	if header.Length > 0 && h.waiting.IsZero() {
+		h.waiting = now
+		g.waiting++
+	}
+
+	switch {
+	case header.Reset:
+		g.forget(key, h)
+	case header.Close:
+		g.closes(h, 0)
+	}
+}
+
+func (g *Gate) closes(h *held, end int) {
+	before := h.closed()
+	h.closing[end] = true
+
+	if !before && h.closed() {
+		g.open--
+	}
+}
+
+// FromBackend decides about a packet that the backend server sent.
+func (g *Gate) FromBackend(now time.Time, header flow.Header) Decision {
+	if header.Returned {
+		return g.returned(now, header)
+	}
+
+	key := header.ReplyKey()
+
+	h := g.flows[key]
+	if h == nil {
+		// The gate has restarted since the flow was opened.
+		h = g.add(now, key, open)
+		h.confirmed = !header.Accepts()
+	}
+
+	decision := Decision{Kind: ToClient, Forwarder: h.forwarder}
+
+	switch {
+	case h.state == opening:
+		g.counters.Accepted++
+		decision.Accepted = true
+	case h.state == unsure:
+		decision.Found = true
+	}
+
+	h.state, h.last, h.born = open, now, g.backend.born
+	if !header.Accepts() {
+		h.confirmed = true
+	}
+
+	if header.Length > 0 && !h.waiting.IsZero() {
+		g.observe(now.Sub(h.waiting))
+		h.waiting = time.Time{}
+		g.waiting--
+	}
+
+	switch {
+	case header.Reset:
+		g.forget(key, h)
+	case header.Close:
+		g.closes(h, 1)
+	}
+
+	return decision
+}
+
+// returned decides about a packet that the backend server does not want.
+func (g *Gate) returned(_ time.Time, header flow.Header) Decision {
+	key := header.Key()
+
+	h := g.flows[key]
+	if h == nil {
+		g.counters.Stray++
+
+		return Decision{Kind: Drop, Reason: ReasonStray}
+	}
+
+	forwarder := h.forwarder
+	g.forget(key, h)
+
+	switch {
+	case header.Opens():
+		g.counters.Refused++
+
+		return Decision{Kind: Return, Forwarder: forwarder, Reason: ReasonFull}
+	case h.confirmed:
+		// The backend server has used the flow, so no other one holds it.
+		g.counters.Resets++
+
+		return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonNotHeld}
+	default:
+		g.counters.Returned++
+
+		return Decision{Kind: Return, Forwarder: forwarder, Reason: ReasonNotHeld}
+	}
+}
+
+// Locate tells an entry instance whether the backend server holds a flow.
+func (g *Gate) Locate(now time.Time, key flow.Key) flow.Answer {
+	h := g.flows[key]
+
+	switch {
+	case h != nil && h.state == open && h.born == g.backend.born && g.backend.state != ended:
+		return flow.Held
+	case h != nil && h.state == opening:
+		return flow.Unsure
+	case h == nil && !g.unsure(now):
+		return flow.Absent
+	case h != nil && h.state == open:
+		return flow.Absent // of a backend server that has ended
+	default:
+		return flow.Unsure
+	}
+}
+
+// unsure reports whether the backend server may hold flows that the gate has
+// not seen.
+func (g *Gate) unsure(now time.Time) bool {
+	return g.backend.state != ended && !g.backend.watched && now.Sub(g.config.Boot) < learned
+}
+
+// Sweep forgets flows that are no longer used and notices that the backend
+// server has ended without a word. It reports whether the state changed.
+func (g *Gate) Sweep(now time.Time) bool {
+	changed := g.backend.expire(now, missedReports*g.config.ReportInterval)
+
+	if now.Sub(g.swept) < sweepInterval {
+		return changed
+	}
+
+	g.swept = now
+
+	for key, h := range g.flows {
+		idle := now.Sub(h.last)
+		if idle > retention || (h.closed() && idle > closedRetention) {
+			g.forget(key, h)
+		}
+	}
+
+	return changed
+}
--- /dev/null
+++ b/internal/coordination/steering/open.go
@@ -0,0 +1,221 @@
+package steering
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
+)
+
+// open sends the first packet of a flow to the best candidate.
+func (r *Router) open(now time.Time, target *route.Route, key flow.Key, packet []byte) {
+	if len(r.undecided) >= maxUndecided {
+		r.counters.Dropped++
+		r.reset(key, 0, ReasonOverload)
+
+		return
+	}
+
+	r.counters.Opened++
+
+	e := &entry{state: opening, last: now, pending: &pending{packets: [][]byte{bytes.Clone(packet)}}}
+	r.flows[key] = e
+	r.undecided[key] = e
+	r.offer(now, target, key, e, ReasonNone)
+}
+
+// offer sends the first packet to the next candidate, or refuses the flow if
+// there is none.
+func (r *Router) offer(now time.Time, target *route.Route, key flow.Key, e *entry, reason Reason) {
+	chosen := r.choose(now, target, key, e.tried)
+	if chosen == nil {
+		r.forget(key)
+
+		// A later view may have a candidate; the client repeats the packet.
+		if !r.fresh(now) {
+			r.counters.Dropped++
+
+			return
+		}
+
+		r.reset(key, 0, ReasonNoAgent)
+
+		return
+	}
+
+	if reason != ReasonNone {
+		r.counters.Moved++
+	}
+
+	chosen.since++
+	e.agent = chosen.Address
+	e.tried = append(e.tried, chosen.Address)
+	e.due = now.Add(OpenTimeout)
+	r.forward(key, chosen.Address, e.packets[0], reason)
+}
+
+// choose returns the best agent for a new flow that was not tried yet, or nil.
+// The services of the other weights are the last resort.
+func (r *Router) choose(now time.Time, target *route.Route, key flow.Key, tried []flow.Endpoint) *agent {
+	hash := key.Hash()
+	picked := target.Pick(hash)
+
+	if chosen := r.chooseOf(now, picked, hash, tried); chosen != nil {
+		return chosen
+	}
+
+	for _, other := range target.Targets {
+		if other.Service == picked || other.Weight == 0 {
+			continue
+		}
+
+		if chosen := r.chooseOf(now, other.Service, hash, tried); chosen != nil {
+			return chosen
+		}
+	}
+
+	return nil
+}
+
+// chooseOf returns the least loaded of a few agents of a service. Suspect ones
+// are taken only if no other is left.
+func (r *Router) chooseOf(now time.Time, service string, hash uint64, tried []flow.Endpoint) *agent {
+	var trusted, suspects []*agent
+
+	for _, a := range r.services[service] {
+		switch {
+		case a.State != roster.Ready || slices.Contains(tried, a.Address):
+		case now.Before(a.suspect):
+			suspects = append(suspects, a)
+		default:
+			trusted = append(trusted, a)
+		}
+	}
+
+	if len(trusted) == 0 {
+		trusted = suspects
+	}
+
+	if len(trusted) == 0 {
+		return nil
+	}
+
+	if len(trusted) > choices {
+		rank(trusted, hash)
+		trusted = trusted[:choices]
+	}
+
+	return slices.MinFunc(trusted, func(a, b *agent) int {
+		return cmp.Or(
+			cmp.Compare(r.load(a), r.load(b)),
+			cmp.Compare(flow.Mix(a.seed^hash), flow.Mix(b.seed^hash)),
+		)
+	})
+}
+
+// load is the number of flows of an agent for each of its slots, with what
+// makes a new flow dearer there counted on top.
+func (r *Router) load(a *agent) float64 {
+	slots := float64(max(1, a.Slots))
+	load := (float64(a.Flows) + float64(a.since) + waitingWeight*float64(a.Waiting) + 1) / slots
+
+	if a.Cold {
+		load *= 1 + coldPenalty
+	}
+
+	return load
+}
+
+// rank orders agents by rendezvous hashing (Thaler and Ravishankar, 1998), so
+// that every entry instance looks for a flow at the same few agents first.
+func rank(agents []*agent, hash uint64) {
+	slices.SortFunc(agents, func(a, b *agent) int {
+		return cmp.Compare(flow.Mix(a.seed^hash), flow.Mix(b.seed^hash))
+	})
+}
+
+// report notes the load that an agent states in an answer.
+func (r *Router) report(from flow.Endpoint, load roster.Load) {
+	if a := r.agents[from]; a != nil {
+		a.Flows, a.Waiting, a.since = load.Flows, load.Waiting, 0
+		a.suspect = time.Time{}
+	}
+}
+
+// Accepted tells that the backend server of an agent has accepted a flow.
+func (r *Router) Accepted(now time.Time, from flow.Endpoint, key flow.Key, load roster.Load) []Action {
+	r.actions = r.actions[:0]
+	r.report(from, load)
+
+	// The first agent that accepts keeps the flow: its answer reaches the client
+	// first as well, most of the time.
+	if e := r.flows[key]; e != nil && e.state == opening {
+		r.settle(now, key, e, from)
+	}
+
+	return r.actions
+}
+
+// Returned tells that an agent cannot take a packet. The packet is the one that
+// the client sent.
+func (r *Router) Returned(
+	now time.Time, from flow.Endpoint, header flow.Header, packet []byte, load roster.Load,
+) []Action {
+	r.actions = r.actions[:0]
+	r.report(from, load)
+
+	key := header.Key()
+
+	target, ok := r.table.Find(key.Service)
+	if !ok {
+		r.withoutRoute(now, header)
+
+		return r.actions
+	}
+
+	e := r.flows[key]
+
+	switch {
+	case header.Opens():
+		r.refused(now, target, key, e, from, packet)
+	case e == nil:
+		r.search(now, target, key, &entry{}, header, packet, from)
+	case e.state == searching:
+		r.notThere(now, target, key, e, from)
+	case e.agent == from:
+		r.search(now, target, key, e, header, packet, from)
+	default:
+		// The flow has been found elsewhere since.
+		r.forward(key, e.agent, bytes.Clone(packet), ReasonNone)
+	}
+
+	return r.actions
+}
+
+// refused offers a flow that an agent refused to the next candidate.
+func (r *Router) refused(
+	now time.Time, target *route.Route, key flow.Key, e *entry, from flow.Endpoint, packet []byte,
+) {
+	switch {
+	case e == nil:
+		e = &entry{state: opening, last: now, pending: &pending{
+			packets: [][]byte{bytes.Clone(packet)}, tried: []flow.Endpoint{from},
+		}}
+		r.flows[key] = e
+		r.undecided[key] = e
+	case e.state == settled && e.agent == from:
+		// A repetition of the first packet, at a backend server that has lost or
+		// ended the flow since.
+		e.state = opening
+		e.pending = &pending{packets: [][]byte{bytes.Clone(packet)}, tried: []flow.Endpoint{from}}
+		r.undecided[key] = e
+	case e.state != opening || e.agent != from:
+		return
+	}
+
+	r.offer(now, target, key, e, ReasonRefused)
+}
--- /dev/null
+++ b/internal/program/follower/follower.go
@@ -0,0 +1,346 @@
+// Package follower keeps an instance of a pass-through deployment up to date:
+// it polls the controllers, and hands over new documents and changes of the
+// list of agents. An agent announces itself with the same polls.
+//
+// # Usage
+//
+//	f := follower.New(follower.Config{Conn: conn, Seeds: seeds, Events: events, Logger: logger})
+//	go f.Run(ctx)
+//	if f.Handle(from, kind, body) { ... } // messages of the shared connection
+//	f.Poll()                              // after a change that cannot wait
+//
+// Every controller is polled, so that each of them knows all agents and can
+// take over. The list of agents comes from one of them, the source. An instance
+// that has no answer for a while reads its seeds again, because the settings
+// may have changed without a signal.
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"jayspindle/internal/protocol/wire"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
+	"jayspindle/internal/transport/frag"
+)
+
+const (
+	// pollInterval leaves four polls within roster.SilentAfter.
+	pollInterval = 400 * time.Millisecond
+
+	// eagerInterval is the interval until the instance has a confirmed view, and
+	// bounds how often news lead to a poll.
+	eagerInterval = 50 * time.Millisecond
+
+	// fetchInterval is how long a fetched document may take before it is
+	// fetched again: 256 KB take 0.5 s on the slowest link in use.
+	fetchInterval = 250 * time.Millisecond
+
+	// sourceTimeout is two polls that were not answered. The list then comes
+	// from another controller.
+	sourceTimeout = 2*pollInterval + 100*time.Millisecond
+)
+
+// Events is what an instance wants to know. The methods are called by one
+// goroutine at a time.
+type Events interface {
+	// Document is called with each newer document.
+	Document(now time.Time, table *route.Table)
+	// Agents is called with changes of the list of agents. With whole set the
+	// records are the whole list.
+	Agents(now time.Time, records []roster.Record, whole bool)
+	// Confirmed is called when a controller in touch with its group has
+	// confirmed that document and agents are current.
+	Confirmed(now time.Time)
+}
+
+// Config holds the dependencies of a Follower.
+type Config struct {
+	Conn   *frag.Conn
+	Boot   uint64 // random for each start of the process
+	Seeds  func() []flow.Endpoint
+	Events Events
+	// Follows is set by instances that need the list of agents.
+	Follows bool
+	// Announce returns what an agent tells of itself; nil for other instances.
+	Announce func(now time.Time) roster.Record
+	Logger   *slog.Logger
+}
+
+// Follower polls controllers. It is safe for concurrent use.
+type Follower struct {
+	config Config
+	kick   chan struct{}
+
+	mutex       sync.Mutex
+	controllers []flow.Endpoint
+	sequence    uint64
+	version     uint64
+	source      flow.Endpoint
+	settled     bool // the source was in touch with its group at its last answer
+	epoch       uint64
+	position    uint64
+	answered    time.Time // last answer of the source
+	heard       time.Time // last answer of any controller
+	fetched     time.Time // last Fetch
+}
+
+// New returns a follower that knows only its seeds.
+func New(config Config) *Follower {
+	return &Follower{config: config, kick: make(chan struct{}, 1), controllers: config.Seeds()}
+}
+
+// Version returns the version of the newest document.
+func (f *Follower) Version() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return f.version
+}
+
+// Controllers returns the controllers that the follower knows.
+func (f *Follower) Controllers() []flow.Endpoint {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return f.controllers
+}
+
+// Poll polls all controllers soon.
+func (f *Follower) Poll() {
+	select {
+	case f.kick <- struct{}{}:
+	default: // a poll is due already
+	}
+}
+
+// Run polls until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := f.pollAll(time.Now())
+		timer := time.NewTimer(wait)
+
+		select {
+		case <-timer.C:
+		case <-f.kick:
+		case <-ctx.Done():
+		}
+
+		timer.Stop()
+	}
+}
+
+// pollAll polls every controller and returns the time until the next poll.
+func (f *Follower) pollAll(now time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	if f.heard.IsZero() || now.Sub(f.heard) > sourceTimeout {
+		f.reseed()
+	}
+
+	if f.source != (flow.Endpoint{}) && now.Sub(f.answered) > sourceTimeout {
+		f.config.Logger.Warn("a controller no longer answers",
+			"controller", f.source.String(), "silent_ms", now.Sub(f.answered).Milliseconds())
+
+		f.source, f.settled = flow.Endpoint{}, false
+	}
+
+	f.sequence++
+
+	poll := wire.Poll{Boot: f.config.Boot, Sequence: f.sequence, Version: f.version}
+	if f.config.Announce != nil {
+		record := f.config.Announce(now)
+		record.Boot = f.config.Boot
+		poll.Agent = &record
+	}
+
+	for _, controller := range f.controllers {
+		f.pollOne(poll, controller)
+	}
+
+	if !f.settled || f.version == 0 {
+		return eagerInterval
+	}
+
+	// The spread keeps instances that started together from polling together.
+	return pollInterval - time.Duration(rand.Int64N(int64(pollInterval/8)))
+}
+
+func (f *Follower) pollOne(poll wire.Poll, controller flow.Endpoint) {
+	if f.config.Follows && controller == f.source {
+		poll.Follows, poll.Epoch, poll.Position = true, f.epoch, f.position
+	}
+
+	f.send(controller.AddrPort(), wire.KindPoll, poll)
+}
+
+func (f *Follower) send(to netip.AddrPort, kind wire.Kind, body any) {
+	message, err := wire.Encode(kind, body)
+	if err == nil {
+		err = f.config.Conn.Send(to, message)
+	}
+
+	// An unreachable controller is noticed by its silence.
+	if err != nil {
+		f.config.Logger.Debug("a message did not leave", "to", to, "error", err)
+	}
+}
+
+// reseed adds the seeds of the present settings to the known controllers.
+func (f *Follower) reseed() {
+	for _, seed := range f.config.Seeds() {
+		if !contains(f.controllers, seed) {
+			f.controllers = append(f.controllers, seed)
+		}
+	}
+}
+
+func contains(endpoints []flow.Endpoint, wanted flow.Endpoint) bool {
+	for _, endpoint := range endpoints {
+		if endpoint == wanted {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Handle handles a message from a controller. It returns false for messages
+// that are not for the follower.
+func (f *Follower) Handle(from netip.AddrPort, kind wire.Kind, body []byte) bool {
+	now := time.Now()
+
+	switch kind {
+	case wire.KindNews:
+		f.Poll()
+	case wire.KindPollReply:
+		reply, err := wire.Decode[wire.PollReply](body)
+		if err != nil {
+			f.config.Logger.Warn("dropped a message", "from", from, "error", err)
+
+			break
+		}
+
+		f.reply(now, from, reply)
+	case wire.KindDocument:
+		f.document(now, from, body)
+	default:
+		return false
+	}
+
+	return true
+}
+
+// reply handles the answer of a controller.
+func (f *Follower) reply(now time.Time, from netip.AddrPort, reply wire.PollReply) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	controller, ok := flow.NewEndpoint(from)
+	if !ok {
+		return
+	}
+
+	f.heard = now
+	if reply.Settled && len(reply.Controllers) > 0 {
+		f.controllers = reply.Controllers
+	}
+
+	if reply.Version > f.version && now.Sub(f.fetched) > fetchInterval {
+		f.fetched = now
+		f.send(from, wire.KindFetch, wire.Fetch{Above: f.version})
+	}
+
+	f.chooseSource(now, controller, reply.Settled)
+
+	if controller == f.source {
+		f.fromSource(now, reply)
+	}
+}
+
+// chooseSource takes a controller as the source of the list if there is none,
+// or if it is in touch with its group and the present source is not.
+func (f *Follower) chooseSource(now time.Time, controller flow.Endpoint, settled bool) {
+	if controller == f.source {
+		f.answered = now
+
+		if f.settled && !settled {
+			f.config.Logger.Info("a controller lost its group", "controller", controller.String())
+		}
+
+		f.settled = settled
+
+		return
+	}
+
+	if f.source != (flow.Endpoint{}) && (f.settled || !settled) {
+		return
+	}
+
+	f.config.Logger.Info("follows a controller", "controller", controller.String(), "settled", settled)
+
+	f.source, f.settled, f.answered = controller, settled, now
+	f.epoch, f.position = 0, 0
+
+	if f.config.Follows {
+		f.Poll()
+	}
+}
+
+func (f *Follower) fromSource(now time.Time, reply wire.PollReply) {
+	if f.config.Follows && reply.Epoch != 0 {
+		// A controller that has just started may not know all agents yet.
+		whole := reply.Whole && reply.Settled
+		if len(reply.Agents) > 0 || whole {
+			f.config.Events.Agents(now, reply.Agents, whole)
+		}
+
+		f.epoch, f.position = reply.Epoch, reply.Position
+		if reply.Whole && !whole {
+			f.epoch = 0 // the whole list is needed again once it is complete
+		}
+	}
+
+	if reply.Settled && reply.Version <= f.version && (!f.config.Follows || f.epoch == reply.Epoch) {
+		f.config.Events.Confirmed(now)
+	}
+}
+
+func (f *Follower) document(now time.Time, from netip.AddrPort, body []byte) {
+	document, err := route.Decode(body)
+	if err != nil {
+		f.config.Logger.Warn("dropped a document", "from", from, "error", err)
+
+		return
+	}
+
+	table, err := route.New(document)
+	if err != nil {
+		f.config.Logger.Warn("dropped a document", "from", from, "error", err)
+
+		return
+	}
+
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	f.fetched = time.Time{}
+
+	if table.Version() <= f.version {
+		return
+	}
+
+	f.config.Logger.Info("put a document in force",
+		"version", table.Version(), "before", f.version, "routes", table.Routes(), "from", from)
+
+	f.version = table.Version()
+	f.config.Events.Document(now, table)
+	f.Poll()
+}
--- /dev/null
+++ b/internal/program/registry/operate.go
@@ -0,0 +1,248 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"jayspindle/internal/coordination/raft"
+	"jayspindle/internal/state/catalog"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/route"
+)
+
+// answerTimeout is how long a caller waits: callers ask another controller
+// after a second.
+const answerTimeout = 850 * time.Millisecond
+
+// outcome is the answer to a caller.
+type outcome struct {
+	version  uint64
+	document []byte
+	err      *Error
+}
+
+// proposal is a caller that waits for its entry.
+type proposal struct {
+	term  uint64
+	at    time.Time
+	reply chan<- outcome
+}
+
+// applied answers the caller of an entry.
+func (p *proposal) applied(term uint64, result catalog.Result) {
+	switch {
+	case term != p.term:
+		p.reply <- outcome{err: newError("submit", KindUnavailable, errors.New("another entry took the place"))}
+	case result.Err() != nil:
+		p.reply <- outcome{err: newError("submit", KindInvalid, result.Err())}
+	default:
+		p.reply <- outcome{version: result.Version}
+	}
+}
+
+// ask passes an event to the owner and waits for the answer.
+func (r *Registry) ask(ctx context.Context, operation string, next func(o *owner, now time.Time, reply chan<- outcome),
+) outcome {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+
+	reply := make(chan outcome, 1)
+
+	select {
+	case r.events <- func(o *owner, now time.Time) { next(o, now, reply) }:
+	case <-ctx.Done():
+		return outcome{err: newError(operation, KindUnavailable, ctx.Err())}
+	}
+
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		return outcome{err: newError(operation, KindUnavailable, ctx.Err())}
+	}
+}
+
+// Submit puts a document in force and returns the version that then is. A
+// version that is not higher than the one in force changes nothing and is no
+// error. After an error of KindUnavailable the document may be in force or not.
+func (r *Registry) Submit(ctx context.Context, version uint64, document []byte) (uint64, error) {
+	if len(document) > MaxDocumentBytes {
+		return 0, newError("submit", KindTooLarge,
+			fmt.Errorf("%d bytes, at most %d are allowed", len(document), MaxDocumentBytes))
+	}
+
+	interpreted, err := r.interpret(document)
+	if err == nil {
+		err = interpreted.Check()
+	}
+
+	if err != nil {
+		return 0, newError("submit", KindInvalid, err)
+	}
+
+	compressed, err := route.Compress(document)
+	if err != nil {
+		return 0, newError("submit", KindInvalid, err)
+	}
+
+	answer := r.ask(ctx, "submit", func(o *owner, now time.Time, reply chan<- outcome) {
+		o.submit(now, catalog.Approve{Version: version, Document: compressed}, reply)
+	})
+	if answer.err != nil {
+		r.logger.Info("did not accept a document", "version", version, "error", answer.err)
+
+		return 0, answer.err
+	}
+
+	r.logger.Info("accepted a document", "version", version, "in_force", answer.version)
+
+	return answer.version, nil
+}
+
+// Newest returns the newest document as its operator sent it, or version 0. The
+// answer is confirmed by a majority.
+func (r *Registry) Newest(ctx context.Context) (uint64, []byte, error) {
+	answer := r.ask(ctx, "read", func(o *owner, _ time.Time, reply chan<- outcome) { o.read(reply) })
+	if answer.err != nil {
+		return 0, nil, answer.err
+	}
+
+	if answer.version == 0 {
+		return 0, nil, nil
+	}
+
+	document, err := route.Expand(answer.document)
+	if err != nil {
+		return 0, nil, newError("read", KindStorage, err)
+	}
+
+	return answer.version, document, nil
+}
+
+// submit proposes a document.
+func (o *owner) submit(now time.Time, command catalog.Approve, reply chan<- outcome) {
+	// What is applied is stored by a majority, whoever leads now.
+	if held, _ := o.state.Approved(); held >= command.Version {
+		reply <- outcome{version: held}
+
+		return
+	}
+
+	if err := o.notLeading("submit"); err != nil {
+		reply <- outcome{err: err}
+
+		return
+	}
+
+	if count := voters(o.node.Status().Members); count < o.minVoters() {
+		reply <- outcome{err: newError("submit", KindUnavailable,
+			fmt.Errorf("%d controllers store documents, %d are needed", count, o.minVoters()))}
+
+		return
+	}
+
+	encoded, err := catalog.Command{Approve: &command}.Encode(now)
+	if err != nil {
+		reply <- outcome{err: newError("submit", KindInvalid, err)}
+
+		return
+	}
+
+	index, term, err := o.node.Propose(encoded)
+	if err != nil {
+		reply <- outcome{err: newError("submit", KindUnavailable, err)}
+
+		return
+	}
+
+	// An entry at this index that was never committed has been overwritten.
+	if lost, ok := o.proposals[index]; ok {
+		lost.applied(0, catalog.Result{})
+	}
+
+	o.proposals[index] = &proposal{term: term, at: now, reply: reply}
+}
+
+// read answers with the document once a majority has confirmed the leader.
+func (o *owner) read(reply chan<- outcome) {
+	if err := o.notLeading("read"); err != nil {
+		reply <- outcome{err: err}
+
+		return
+	}
+
+	o.nextRead++
+
+	if err := o.node.ReadIndex(o.nextRead); err != nil {
+		reply <- outcome{err: newError("read", KindUnavailable, err)}
+
+		return
+	}
+
+	o.reads[o.nextRead] = reply
+}
+
+func (o *owner) answerReads(reads []raft.Read) {
+	for _, read := range reads {
+		reply, ok := o.reads[read.ID]
+		if !ok {
+			continue
+		}
+
+		delete(o.reads, read.ID)
+
+		if read.Lost {
+			reply <- outcome{err: newError("read", KindUnavailable, errors.New("the leadership was lost"))}
+
+			continue
+		}
+
+		version, document := o.state.Approved()
+		reply <- outcome{version: version, document: document}
+	}
+}
+
+// notLeading returns an error that names the leader unless this replica leads.
+func (o *owner) notLeading(operation string) *Error {
+	if o.node == nil {
+		return newError(operation, KindUnavailable, errors.New("the replica does not take part in a group"))
+	}
+
+	status := o.node.Status()
+	if status.Role == raft.Leader {
+		return nil
+	}
+
+	err := newError(operation, KindNotLeader, errors.New("another controller leads, or none"))
+	if address, ok := o.addresses[status.Leader]; ok && status.Leader != 0 {
+		err.leader, _ = flow.NewEndpoint(address)
+	}
+
+	return err
+}
+
+// dropCallers answers all callers whose outcome is not known any more.
+func (o *owner) dropCallers(cause error) {
+	for index, waiting := range o.proposals {
+		waiting.reply <- outcome{err: newError("submit", KindUnavailable, cause)}
+
+		delete(o.proposals, index)
+	}
+
+	for id, reply := range o.reads {
+		reply <- outcome{err: newError("read", KindUnavailable, cause)}
+
+		delete(o.reads, id)
+	}
+}
+
+// forget drops the callers that nobody waits for any more.
+func (o *owner) forget(now time.Time) {
+	for index, waiting := range o.proposals {
+		if now.Sub(waiting.at) > 2*answerTimeout {
+			delete(o.proposals, index)
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/sidecar/sidecar.go
@@ -0,0 +1,395 @@
+// Package sidecar is the agent of a pass-through service: it stands between
+// entry instances and the backend server on its own instance. Package gate
+// decides; this package holds the sockets.
+//
+// # Usage
+//
+//	process, err := sidecar.New(settings, codec, logger)
+//	outcome, err := process.Report(report) // what the backend server says of itself
+//	err = process.Run(ctx)
+//
+// The agent stops at once when ctx ends: the backend server beside it has
+// ended, or the agent is restarted, and then every moment counts.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"jayspindle/internal/coordination/gate"
+	"jayspindle/internal/program/follower"
+	"jayspindle/internal/program/group"
+	"jayspindle/internal/protocol/wire"
+	"jayspindle/internal/state/failure"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
+	"jayspindle/internal/transport/frag"
+)
+
+const (
+	// maxPacket is above the largest packet of the deployments.
+	maxPacket = 2048
+
+	// receiveBuffer holds 50 ms of packets at 100 Mbit/s.
+	receiveBuffer = 1 << 20
+
+	// sweepInterval is a fraction of the time between two reports of a backend
+	// server.
+	sweepInterval = 250 * time.Millisecond
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// KindListen is the kind of errors of sockets that cannot be opened.
+const KindListen Kind = "listen"
+
+// Error is the error type of this package.
+type Error = failure.Error[Kind]
+
+func newError(operation string, kind Kind, err error) *Error {
+	return failure.New("sidecar", operation, kind, err)
+}
+
+// Settings configures an agent.
+type Settings struct {
+	Name       string
+	Zone       string
+	Service    string
+	Data       netip.AddrPort // receives packets from entry instances
+	Outbound   netip.AddrPort // receives packets from the backend server
+	Backend    netip.AddrPort // the backend server
+	Inner      netip.AddrPort // messages of the other processes
+	ClientPort uint16         // UDP port at which clients receive packets
+	Seeds      func() []flow.Endpoint
+	// ReportInterval is the time between two reports of the backend server.
+	ReportInterval time.Duration
+}
+
+// Sidecar is one agent.
+type Sidecar struct {
+	settings Settings
+	codec    flow.Codec
+	logger   *slog.Logger
+	data     *net.UDPConn
+	outbound *net.UDPConn
+	inner    *frag.Conn
+	follower *follower.Follower
+
+	mutex  sync.Mutex // guards everything below
+	gate   *gate.Gate
+	buffer []byte
+}
+
+// New opens the sockets.
+func New(settings Settings, codec flow.Codec, logger *slog.Logger) (*Sidecar, error) {
+	s := &Sidecar{settings: settings, codec: codec, logger: logger}
+	if err := s.listen(); err != nil {
+		return nil, errors.Join(newError("listen", KindListen, err), s.close())
+	}
+
+	s.gate = gate.New(gate.Config{
+		Service: settings.Service, Boot: time.Now(), ReportInterval: settings.ReportInterval,
+	}, func(time.Duration) {})
+	s.follower = follower.New(follower.Config{
+		Conn: s.inner, Boot: rand.Uint64(), Seeds: settings.Seeds, Events: events{s}, Announce: s.announce, Logger: logger,
+	})
+
+	return s, nil
+}
+
+func (s *Sidecar) listen() error {
+	var err error
+	if s.data, err = listenUDP(s.settings.Data, s.logger); err != nil {
+		return err
+	}
+
+	if s.outbound, err = listenUDP(s.settings.Outbound, s.logger); err != nil {
+		return err
+	}
+
+	s.inner, err = frag.Listen(s.settings.Inner, s.logger)
+
+	return err
+}
+
+func listenUDP(address netip.AddrPort, logger *slog.Logger) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		logger.Warn("the receive buffer keeps its default size", "error", err)
+	}
+
+	return conn, nil
+}
+
+func (s *Sidecar) close() error {
+	var err error
+	if s.data != nil {
+		err = s.data.Close()
+	}
+
+	if s.outbound != nil {
+		err = errors.Join(err, s.outbound.Close())
+	}
+
+	if s.inner != nil {
+		err = errors.Join(err, s.inner.Close())
+	}
+
+	return err
+}
+
+// announce describes the agent to controllers.
+func (s *Sidecar) announce(now time.Time) roster.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	record := s.gate.Record(now)
+	record.Zone = s.settings.Zone
+	record.Address, _ = flow.NewEndpoint(s.settings.Data) // it was opened as IPv4
+
+	return record
+}
+
+// Report applies what the backend server says of itself. When it returns, a
+// backend server that is leaving gets no new flows.
+func (s *Sidecar) Report(report gate.Report) (gate.Outcome, error) {
+	s.mutex.Lock()
+	outcome, err := s.gate.Report(time.Now(), report)
+	s.mutex.Unlock()
+
+	switch {
+	case err != nil:
+		s.logger.Warn("refused a report", "id", report.ID, "error", err)
+	case outcome == gate.Late:
+		s.logger.Info("ignored a late report", "id", report.ID, "born", report.Born, "sequence", report.Sequence)
+	case outcome == gate.Changed:
+		s.logger.Info("the backend server changed", "id", report.ID, "born", report.Born, "sequence", report.Sequence,
+			"leaving", report.Leaving, "slots", report.Slots, "cold_ms", report.Cold.Milliseconds())
+		s.follower.Poll()
+	}
+
+	return outcome, err
+}
+
+// Leave notes that the backend server has ended its work.
+func (s *Sidecar) Leave(id string, born int64) {
+	s.mutex.Lock()
+	outcome := s.gate.Leave(id, born)
+	s.mutex.Unlock()
+
+	s.logger.Info("the backend server says that it ends", "id", id, "born", born, "late", outcome == gate.Late)
+
+	if outcome == gate.Changed {
+		s.follower.Poll()
+	}
+}
+
+// Run passes packets until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) error {
+	running, stop := context.WithCancelCause(ctx)
+	parts := group.New(stop)
+
+	parts.Go(func() { s.serve(running, stop, s.data, s.fromForwarder) })
+	parts.Go(func() { s.serve(running, stop, s.outbound, s.fromBackend) })
+	parts.Go(func() { s.inner.Serve(s.handle) })
+	parts.Go(func() { s.follower.Run(running) })
+	parts.Go(func() { s.sweep(running) })
+
+	<-running.Done()
+
+	closing := s.close()
+
+	parts.Wait()
+
+	if cause := context.Cause(running); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+
+	return closing
+}
+
+// serve handles the packets of one socket.
+func (s *Sidecar) serve(
+	ctx context.Context, fail context.CancelCauseFunc, conn *net.UDPConn,
+	handle func(from netip.AddrPort, header flow.Header, packet []byte),
+) {
+	buffer := make([]byte, maxPacket)
+
+	for {
+		count, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+
+		if errors.Is(err, net.ErrClosed) {
+			fail(newError("receive", KindListen, err))
+
+			return
+		}
+
+		// Other errors belong to earlier packets that could not be delivered.
+		if err != nil {
+			continue
+		}
+
+		header, err := s.codec.Decode(buffer[:count])
+		if err != nil {
+			s.logger.Debug("dropped a packet", "from", from, "error", err)
+
+			continue
+		}
+
+		s.mutex.Lock()
+		handle(from, header, buffer[:count])
+		s.mutex.Unlock()
+	}
+}
+
+// fromForwarder handles a packet of a client.
+func (s *Sidecar) fromForwarder(from netip.AddrPort, header flow.Header, packet []byte) {
+	forwarder, ok := flow.NewEndpoint(from)
+	if !ok {
+		return
+	}
+
+	s.do(header.Key(), header, s.gate.FromClient(time.Now(), forwarder, header), packet)
+}
+
+// fromBackend handles a packet of the backend server, or one that it returned.
+func (s *Sidecar) fromBackend(_ netip.AddrPort, header flow.Header, packet []byte) {
+	key := header.ReplyKey()
+
+	if header.Returned {
+		key = header.Key()
+
+		s.codec.Restore(packet)
+	}
+
+	s.do(key, header, s.gate.FromBackend(time.Now(), header), packet)
+}
+
+// do carries out a decision. The caller holds the mutex.
+func (s *Sidecar) do(key flow.Key, header flow.Header, decision gate.Decision, packet []byte) {
+	var err error
+
+	switch decision.Kind {
+	case gate.Deliver:
+		_, err = s.outbound.WriteToUDPAddrPort(packet, s.settings.Backend)
+	case gate.ToClient:
+		err = s.toClient(key, packet)
+	case gate.Return:
+		err = s.notify(decision.Forwarder, wire.Returned{Load: s.gate.Load(), Packet: packet}.Append(s.buffer[:0]))
+	case gate.Reset:
+		err = s.toClient(key, s.codec.AppendReset(s.buffer[:0], key, header.Acknowledged))
+	case gate.Drop:
+	}
+
+	switch {
+	case decision.Accepted:
+		err = errors.Join(err, s.notify(decision.Forwarder,
+			wire.Accepted{Key: key, Load: s.gate.Load()}.Append(s.buffer[:0])))
+	case decision.Found:
+		err = errors.Join(err, s.notify(decision.Forwarder,
+			wire.Located{Key: key, Answer: flow.Held}.Append(s.buffer[:0])))
+	}
+
+	if err != nil {
+		s.logger.Debug("a packet did not leave", "flow", key.String(), "error", err)
+	}
+
+	if decision.Reason != gate.ReasonNone {
+		s.logger.Info("did not deliver a packet", "flow", key.String(), "reason", string(decision.Reason),
+			"opens", header.Opens(), "reset", decision.Kind == gate.Reset, "version", s.gate.Version())
+	}
+}
+
+func (s *Sidecar) toClient(key flow.Key, packet []byte) error {
+	_, err := s.data.WriteToUDPAddrPort(packet, netip.AddrPortFrom(key.Client.Addr(), s.settings.ClientPort))
+
+	return err
+}
+
+// notify sends a message to an entry instance.
+func (s *Sidecar) notify(forwarder flow.Endpoint, message []byte) error {
+	s.buffer = message
+
+	return s.inner.Send(netip.AddrPortFrom(forwarder.Addr(), s.settings.Inner.Port()), message)
+}
+
+// handle handles a message from another process.
+func (s *Sidecar) handle(from netip.AddrPort, message []byte) {
+	kind, body, ok := wire.Split(message)
+	if !ok || s.follower.Handle(from, kind, body) {
+		return
+	}
+
+	if kind != wire.KindLocate {
+		s.logger.Debug("dropped a message", "from", from, "kind", kind)
+
+		return
+	}
+
+	asked, err := wire.ParseLocate(body)
+	if err != nil {
+		s.logger.Warn("dropped a message", "from", from, "error", err)
+
+		return
+	}
+
+	s.mutex.Lock()
+	answer := s.gate.Locate(time.Now(), asked.Key)
+	s.mutex.Unlock()
+
+	if err := s.inner.Send(from, wire.Located{Key: asked.Key, Answer: answer}.Append(nil)); err != nil {
+		s.logger.Debug("an answer did not leave", "to", from, "error", err)
+	}
+}
+
+// sweep drives what depends on time.
+func (s *Sidecar) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+
+		s.mutex.Lock()
+		changed := s.gate.Sweep(time.Now())
+		s.mutex.Unlock()
+
+		if changed {
+			s.logger.Warn("the backend server no longer reports")
+			s.follower.Poll()
+		}
+	}
+}
+
+// events passes what the follower learns to the gate.
+type events struct{ *Sidecar }
+
+func (e events) Document(_ time.Time, table *route.Table) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+
+	e.gate.Follow(table)
+}
+
+func (events) Agents(time.Time, []roster.Record, bool) {}
+
+func (events) Confirmed(time.Time) {}
--- /dev/null
+++ b/internal/protocol/wire/wire.go
@@ -0,0 +1,245 @@
+// Package wire holds the messages between the processes of pass-through
+// services. The first byte of a message is its Kind. Messages about single
+// flows have a fixed layout, because there is one for each new flow; all others
+// are CBOR.
+//
+// # Usage
+//
+//	message := wire.Accepted{Key: key, Load: load}.Append(buffer[:0])
+//	kind, body, ok := wire.Split(message)
+//	accepted, err := wire.ParseAccepted(body)
+//
+//	message, err = wire.Encode(wire.KindPoll, wire.Poll{...})
+//	poll, err := wire.Decode[wire.Poll](body)
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"jayspindle/internal/state/failure"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+)
+
+// Kind tells what a message is.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	KindReplicate  Kind = iota + 1 // a raft message, between controllers
+	KindPoll                       // Poll, to a controller
+	KindPollReply                  // PollReply
+	KindFetch                      // Fetch, to a controller
+	KindDocument                   // an encoded route.Document
+	KindEnter                      // Enter, to a controller
+	KindEnterReply                 // EnterReply
+	KindNews                       // no body: the receiver should poll now
+	KindAccepted                   // Accepted, to an entry instance
+	KindReturned                   // Returned, to an entry instance
+	KindLocate                     // Locate, to an agent
+	KindLocated                    // Located, to an entry instance
+)
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// KindMalformed is the kind of all errors: the bytes are not such a message.
+const KindMalformed ErrorKind = "malformed"
+
+// Error is the error type of this package.
+type Error = failure.Error[ErrorKind]
+
+func newError(operation string, err error) *Error {
+	return failure.New("wire", operation, KindMalformed, err)
+}
+
+// Split returns the kind of a message and its body.
+func Split(message []byte) (kind Kind, body []byte, ok bool) {
+	if len(message) == 0 {
+		return 0, nil, false
+	}
+
+	return Kind(message[0]), message[1:], true
+}
+
+// Encode returns a CBOR message.
+func Encode[T any](kind Kind, body T) ([]byte, error) {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, newError("encode", err)
+	}
+
+	return append([]byte{byte(kind)}, encoded...), nil
+}
+
+// Decode reads the body of a CBOR message.
+func Decode[T any](body []byte) (T, error) {
+	var decoded T
+	if err := cbor.Unmarshal(body, &decoded); err != nil {
+		return decoded, newError("decode", err)
+	}
+
+	return decoded, nil
+}
+
+// Poll is what an instance tells a controller several times a second.
+type Poll struct {
+	Boot     uint64         `cbor:"1,keyasint"` // random for each start of the sender
+	Sequence uint64         `cbor:"2,keyasint"` // rises with each poll
+	Version  uint64         `cbor:"3,keyasint"` // of the document that the sender has
+	Agent    *roster.Record `cbor:"4,keyasint,omitempty"`
+	Follows  bool           `cbor:"5,keyasint,omitempty"` // the sender wants the list of agents
+	Epoch    uint64         `cbor:"6,keyasint,omitempty"` // of the list that the sender has
+	Position uint64         `cbor:"7,keyasint,omitempty"`
+}
+
+// PollReply answers a Poll.
+type PollReply struct {
+	Sequence    uint64          `cbor:"1,keyasint"`
+	Version     uint64          `cbor:"2,keyasint"`           // of the newest document that the controller has
+	Controllers []flow.Endpoint `cbor:"3,keyasint"`           // all controllers of the group
+	Settled     bool            `cbor:"4,keyasint,omitempty"` // the controller hears the group and its list is complete
+	Epoch       uint64          `cbor:"5,keyasint,omitempty"`
+	Position    uint64          `cbor:"6,keyasint,omitempty"`
+	Whole       bool            `cbor:"7,keyasint,omitempty"` // Agents is the whole list
+	Agents      []roster.Record `cbor:"8,keyasint,omitempty"`
+}
+
+// Fetch asks a controller for its newest document.
+type Fetch struct {
+	Above uint64 `cbor:"1,keyasint"` // the version that the sender has
+}
+
+// Enter asks a controller to add the sender to the group.
+type Enter struct {
+	Replica uint64 `cbor:"1,keyasint"`
+}
+
+// EnterReply names the group to a sender of Enter.
+type EnterReply struct {
+	Cluster     uint64          `cbor:"1,keyasint"` // 0 if the answer only names controllers
+	Generation  uint64          `cbor:"2,keyasint"`
+	Controllers []flow.Endpoint `cbor:"3,keyasint"`
+}
+
+const (
+	endpointBytes = 6
+	keyBytes      = 2 * endpointBytes
+	loadBytes     = 4
+)
+
+func appendEndpoint(buffer []byte, endpoint flow.Endpoint) []byte {
+	return binary.LittleEndian.AppendUint16(append(buffer, endpoint.IP[:]...), endpoint.Port)
+}
+
+func parseEndpoint(body []byte) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte(body[:4]), Port: binary.LittleEndian.Uint16(body[4:])}
+}
+
+func appendKey(buffer []byte, key flow.Key) []byte {
+	return appendEndpoint(appendEndpoint(buffer, key.Client), key.Service)
+}
+
+func parseKey(body []byte) flow.Key {
+	return flow.Key{Client: parseEndpoint(body), Service: parseEndpoint(body[endpointBytes:])}
+}
+
+func appendLoad(buffer []byte, load roster.Load) []byte {
+	buffer = binary.LittleEndian.AppendUint16(buffer, load.Flows)
+
+	return binary.LittleEndian.AppendUint16(buffer, load.Waiting)
+}
+
+func parseLoad(body []byte) roster.Load {
+	return roster.Load{Flows: binary.LittleEndian.Uint16(body), Waiting: binary.LittleEndian.Uint16(body[2:])}
+}
+
+func need(operation string, body []byte, length int) error {
+	if len(body) < length {
+		return newError(operation, fmt.Errorf("%d bytes, at least %d are needed", len(body), length))
+	}
+
+	return nil
+}
+
+// Accepted tells that the backend server of the sender has accepted a flow, or
+// holds it after a search.
+type Accepted struct {
+	Key  flow.Key
+	Load roster.Load
+}
+
+// Append appends the message to the buffer.
+func (a Accepted) Append(buffer []byte) []byte {
+	return appendLoad(appendKey(append(buffer, byte(KindAccepted)), a.Key), a.Load)
+}
+
+// ParseAccepted reads the body of an Accepted.
+func ParseAccepted(body []byte) (Accepted, error) {
+	if err := need("parse accepted", body, keyBytes+loadBytes); err != nil {
+		return Accepted{}, err
+	}
+
+	return Accepted{Key: parseKey(body), Load: parseLoad(body[keyBytes:])}, nil
+}
+
+// Returned gives a packet back that the sender cannot deliver. Packet is as the
+// client sent it.
+type Returned struct {
+	Load   roster.Load
+	Packet []byte
+}
+
+// Append appends the message to the buffer.
+func (r Returned) Append(buffer []byte) []byte {
+	return append(appendLoad(append(buffer, byte(KindReturned)), r.Load), r.Packet...)
+}
+
+// ParseReturned reads the body of a Returned. The packet refers to the body.
+func ParseReturned(body []byte) (Returned, error) {
+	if err := need("parse returned", body, loadBytes); err != nil {
+		return Returned{}, err
+	}
+
+	return Returned{Load: parseLoad(body), Packet: body[loadBytes:]}, nil
+}
+
+// Locate asks an agent whether its backend server holds a flow.
+type Locate struct{ Key flow.Key }
+
+// Append appends the message to the buffer.
+func (l Locate) Append(buffer []byte) []byte {
+	return appendKey(append(buffer, byte(KindLocate)), l.Key)
+}
+
+// ParseLocate reads the body of a Locate.
+func ParseLocate(body []byte) (Locate, error) {
+	if err := need("parse locate", body, keyBytes); err != nil {
+		return Locate{}, err
+	}
+
+	return Locate{Key: parseKey(body)}, nil
+}
+
+// Located answers a Locate.
+type Located struct {
+	Key    flow.Key
+	Answer flow.Answer
+}
+
+// Append appends the message to the buffer.
+func (l Located) Append(buffer []byte) []byte {
+	return append(appendKey(append(buffer, byte(KindLocated)), l.Key), byte(l.Answer))
+}
+
+// ParseLocated reads the body of a Located.
+func ParseLocated(body []byte) (Located, error) {
+	if err := need("parse located", body, keyBytes+1); err != nil {
+		return Located{}, err
+	}
+
+	return Located{Key: parseKey(body), Answer: flow.Answer(body[keyBytes])}, nil
+}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -26,7 +26,6 @@
 	"fmt"
 	"log/slog"
 
-	"jayspindle/internal/state/document"
 	"jayspindle/internal/state/invariant"
 	"jayspindle/internal/state/view"
 )
@@ -50,6 +49,9 @@
 	Cluster    [16]byte // random ID of the group
 	Generation uint64   // rises when the group is re-formed
 	Owners     [2]Owner
+	// Preapproved founds a group without owners, whose documents are approved
+	// before they reach it.
+	Preapproved bool
 }
 
 // Catalog is the replicated state.
@@ -61,6 +63,7 @@
 	ledgers      map[string]*ledger
 	environments map[string]*environment
 	answers      answers
+	approvals    *approvals        // nil in a group with owners
 	parsed       [2]parsedDocument // the last two, the later one first
 }
 
@@ -74,7 +77,7 @@
 // New returns the state of a new controller group. It refuses owners without
 // a name or key and owners that are not different, with KindInvalid.
 func New(founding Founding) (*Catalog, error) {
-	if err := checkOwners(founding.Owners); err != nil {
+	if err := checkOwners(founding.Owners); err != nil && !founding.Preapproved {
 		return nil, newError("new", KindInvalid, err)
 	}
 
@@ -87,6 +90,10 @@
 		answers:      answers{byID: map[string]*answer{}},
 	}
 
+	if founding.Preapproved {
+		catalog.approvals = &approvals{}
+	}
+
 	for _, name := range []string{Trial, Production, Owners} {
 		catalog.ledgers[name] = &ledger{name: name}
 	}
@@ -143,17 +150,8 @@
 
 // dispatch returns the result and whether the state changed.
 func (c *Catalog) dispatch(at entry, command Command) (Result, bool) {
-	switch {
-	case command.Submit != nil:
-		return c.submit(at, *command.Submit)
-	case command.Promote != nil:
-		return c.promote(at, *command.Promote)
-	case command.ReplaceOwner != nil:
-		return c.replaceOwner(at, *command.ReplaceOwner)
-	case command.Sign != nil:
-		return c.decide(at, *command.Sign, document.Accept)
-	case command.Reject != nil:
-		return c.decide(at, Sign(*command.Reject), document.Reject)
+	if result, changed, known := c.dispatchDocument(at, command); known {
+		return result, changed
 	}
 
 	environment, ok := c.environments[command.environment()]
--- a/internal/state/catalog/command.go
+++ b/internal/state/catalog/command.go
@@ -30,6 +30,7 @@
 	Expire       *Expire       `cbor:"10,keyasint,omitempty"`
 	SetWeight    *SetWeight    `cbor:"11,keyasint,omitempty"`
 	RotateKey    *RotateKey    `cbor:"12,keyasint,omitempty"`
+	Approve      *Approve      `cbor:"13,keyasint,omitempty"`
 }
 
 // Submit makes a document pending as version Base+1. A resend with the same
@@ -195,6 +196,7 @@
 	for _, present := range []bool{
 		c.Submit != nil, c.Sign != nil, c.Reject != nil, c.Promote != nil, c.ReplaceOwner != nil,
 		c.Announce != nil, c.Leave != nil, c.Expire != nil, c.SetWeight != nil, c.RotateKey != nil,
+		c.Approve != nil,
 	} {
 		if present {
 			count++
--- a/internal/state/catalog/snapshot.go
+++ b/internal/state/catalog/snapshot.go
@@ -24,6 +24,7 @@
 	Environments []environmentState `cbor:"7,keyasint"`
 	Answers      []*answer          `cbor:"8,keyasint"`
 	Chunks       [][]byte           `cbor:"9,keyasint"`
+	Approvals    *approvals         `cbor:"10,keyasint,omitempty"` // only in a group without owners
 }
 
 type ledgerState struct {
@@ -53,7 +54,7 @@
 	chunks := chunkTable{numbers: map[*chunk]uint32{}}
 	state := snapshot{
 		Format: snapshotFormat, Cluster: c.cluster, Generation: c.generation, Index: c.index,
-		Owners: c.owners, Answers: c.answers.order,
+		Owners: c.owners, Answers: c.answers.order, Approvals: c.approvals,
 	}
 
 	for _, name := range []string{Trial, Production, Owners} {
@@ -163,11 +164,15 @@
 			len(s.Ledgers), len(s.Environments))
 	}
 
-	restored, err := New(Founding{Cluster: s.Cluster, Generation: s.Generation, Owners: s.Owners})
+	restored, err := New(Founding{
+		Cluster: s.Cluster, Generation: s.Generation, Owners: s.Owners, Preapproved: s.Approvals != nil,
+	})
 	if err != nil {
 		return nil, err
 	}
 
+	restored.approvals = s.Approvals
+
 	restored.index = s.Index
 
 	chunks := make([]*chunk, 0, len(s.Chunks))
--- /dev/null
+++ b/internal/state/roster/roster_test.go
@@ -0,0 +1,118 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func record(last byte, state roster.State) roster.Record {
+	return roster.Record{
+		Address: flow.Endpoint{IP: [4]byte{10, 0, 0, last}, Port: 1}, Boot: 7, Service: "desk", State: state, Slots: 2,
+	}
+}
+
+func states(records []roster.Record) map[byte]roster.State {
+	found := map[byte]roster.State{}
+	for _, r := range records {
+		found[r.Address.IP[3]] = r.State
+	}
+
+	return found
+}
+
+// TestAnnounce guards against announcements that were overtaken on their way
+// and bring back a state that has ended.
+func TestAnnounce(t *testing.T) {
+	is := is.New(t)
+	list := roster.New(1)
+
+	is.True(list.Announce(start, record(1, roster.Ready), 5))
+	is.True(list.Announce(start, record(1, roster.Draining), 6))
+	is.True(!list.Announce(start, record(1, roster.Ready), 4)) // late
+
+	restarted := record(1, roster.Starting)
+	restarted.Boot = 8
+	is.True(list.Announce(start, restarted, 1))
+	is.True(!list.Announce(start, record(1, roster.Ready), 9)) // of the earlier start
+
+	records, _ := list.Since(0)
+	is.Equal(states(records), map[byte]roster.State{1: roster.Starting})
+}
+
+// TestSince guards against followers that miss a change or get every record
+// again with each poll.
+func TestSince(t *testing.T) {
+	is := is.New(t)
+	list := roster.New(1)
+	list.Announce(start, record(1, roster.Ready), 1)
+	list.Announce(start, record(2, roster.Ready), 1)
+
+	records, position := list.Since(0)
+	is.Equal(len(records), 2)
+
+	list.Announce(start, record(2, roster.Draining), 2)
+	list.Announce(start, record(1, roster.Ready), 2) // nothing new
+
+	records, position = list.Since(position)
+	is.Equal(states(records), map[byte]roster.State{2: roster.Draining})
+
+	records, _ = list.Since(position)
+	is.Equal(len(records), 0)
+}
+
+// TestExpire guards against agents that are lost and keep getting new flows.
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	list := roster.New(1)
+	list.Announce(start, record(1, roster.Ready), 1)
+	_, position := list.Since(0)
+
+	is.True(!list.Expire(start.Add(roster.SilentAfter)))
+	is.True(list.Expire(start.Add(roster.SilentAfter + 1)))
+
+	records, position := list.Since(position)
+	is.Equal(states(records), map[byte]roster.State{1: roster.Silent})
+
+	is.True(list.Announce(start.Add(2*time.Second), record(1, roster.Ready), 2)) // it is back
+	is.True(list.Expire(start.Add(2*time.Second + roster.GoneAfter + 1)))
+
+	records, _ = list.Since(position)
+	is.Equal(states(records), map[byte]roster.State{1: roster.Gone})
+
+	all, _ := list.Since(0)
+	is.Equal(len(all), 0) // a new follower needs no record of it
+}
+
+// TestLoad guards against a flood of changes while the number of flows wavers.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	list := roster.New(1)
+
+	loaded := record(1, roster.Ready)
+	loaded.Flows = 100
+	list.Announce(start, loaded, 1)
+
+	_, position := list.Since(0)
+
+	for sequence, flows := range []uint16{101, 105, 95} {
+		loaded.Flows = flows
+		list.Announce(start, loaded, uint64(2+sequence))
+	}
+
+	records, _ := list.Since(position)
+	is.Equal(len(records), 0)
+
+	loaded.Flows = 130
+	list.Announce(start, loaded, 9)
+
+	records, _ = list.Since(position)
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Flows, uint16(130))
+}
--- a/internal/state/wal/files.go
+++ b/internal/state/wal/files.go
@@ -51,6 +51,15 @@
 
 type osFiles struct{}
 
+// WithoutModes returns the file operations of the operating system for a file
+// system that does not store permissions: those of the data directory are not
+// checked.
+func WithoutModes() Files { return modelessFiles{} }
+
+type modelessFiles struct{ osFiles }
+
+func (modelessFiles) MakeDirectory(name string) error { return makeDirectories(filepath.Clean(name)) }
+
 func (osFiles) MakeDirectory(name string) error {
 	if err := makeDirectories(filepath.Clean(name)); err != nil {
 		return err
--- /dev/null
+++ b/internal/transport/frag/frag_test.go
@@ -0,0 +1,72 @@
+package frag_test
+
+import (
+	"bytes"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/transport/frag"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func listen(t *testing.T) *frag.Conn {
+	t.Helper()
+
+	conn, err := frag.Listen(loopback, slog.New(slog.DiscardHandler))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { conn.Close() })
+
+	return conn
+}
+
+func received(conn *frag.Conn) <-chan []byte {
+	messages := make(chan []byte, 16)
+
+	go conn.Serve(func(_ netip.AddrPort, message []byte) { messages <- bytes.Clone(message) })
+
+	return messages
+}
+
+// TestSend guards against messages that arrive changed, whatever their size.
+func TestSend(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := listen(t), listen(t)
+	messages := received(receiver)
+
+	for _, size := range []int{1, 1200, 1201, 50_000} {
+		message := bytes.Repeat([]byte{1, 2, 3, 5, 7}, size)[:size]
+		is.NoErr(sender.Send(receiver.Address(), message))
+		is.True(bytes.Equal(<-messages, message))
+	}
+
+	is.True(sender.Send(receiver.Address(), make([]byte, frag.MaxMessageBytes+1)) != nil)
+}
+
+// TestGarbage guards against datagrams of strangers that stop the receiver or
+// are taken for messages.
+func TestGarbage(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := listen(t), listen(t)
+	messages := received(receiver)
+
+	stranger, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(receiver.Address()))
+	is.NoErr(err)
+
+	defer stranger.Close()
+
+	for _, datagram := range [][]byte{
+		{}, {0}, {9, 9, 9}, {1, 0, 0}, {1, 0, 0, 0, 0, 9, 0, 2, 0, 1}, {1, 0, 0, 0, 0, 0, 0, 255, 255, 1},
+	} {
+		_, err := stranger.Write(datagram)
+		is.NoErr(err)
+	}
+
+	is.NoErr(sender.Send(receiver.Address(), []byte("whole")))
+	is.Equal(string(<-messages), "whole")
+	is.Equal(receiver.Dropped(), uint64(6))
+}
