Bound searches and offers so that the loss of all instances does not last

Traces of the entry instances showed 350 KB a second of questions on a link of 550 KB a second; answers came seconds late, each search failed and was repeated, and a flow whose agent did not answer was offered to up to 52 agents, one after the other, long after its client had left. News of every agent from every controller fetched the whole list each time. Ruled out: processor time (same with --no-cpu) and the controllers (a document was in force 0.3 s after the start). Change: likely agents are asked first, all others with gathered questions; a budget of a fifth of the link; denials are remembered; three offers a flow, more only when the client repeats its packet; unsettled lists come as changes; polls and news are spaced. Agents that have seen their backend server start answer with certainty.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -90,9 +90,7 @@
 	before := *b
 
 	if b.state == unheard || report.Born > b.born {
-		// The first report of a start means that no flow began before the gate
-		// was there to see it.
-		b.watched = b.state != unheard || report.Sequence <= 1
+		b.watched = b.state != unheard || g.sawStart(now, report)
 	}
 
 	b.id, b.born, b.sequence, b.slots, b.heard = report.ID, report.Born, report.Sequence, report.Slots, now
@@ -112,6 +110,20 @@
 	return Unchanged, nil
 }
 
+// sawStart reports whether no flow can have begun before the gate was there to
+// see it: the report is the first one, or the backend server has started at the
+// same time as the gate. Its age comes from the time of day, which may be wrong,
+// so it counts only if the backend server is still cold.
+func (g *Gate) sawStart(now time.Time, report Report) bool {
+	if report.Sequence <= 1 {
+		return true
+	}
+
+	age := now.Sub(time.UnixMilli(report.Born))
+
+	return report.Cold > 0 && age <= now.Sub(g.config.Boot)+startSlack
+}
+
 // Leave notes that the backend server has ended its work. Sequence and start
 // may be missing (0).
 func (g *Gate) Leave(id string, born int64) Outcome {
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -51,6 +51,11 @@
 	// before no new flow starts there.
 	missedReports = 3
 
+	// startSlack is how much earlier than the gate a backend server may have
+	// started without having had an earlier gate: the restart of a process
+	// takes longer.
+	startSlack = 300 * time.Millisecond
+
 	// learned is how long after its start a gate stays unsure of flows that it
 	// has not seen: the longest life of a flow in the deployments.
 	learned = 60 * time.Second
@@ -113,6 +118,7 @@
 	born      int64
 	forwarder flow.Endpoint
 	last      time.Time
+	acked     uint32    // the last sequence number that the client acknowledged
 	waiting   time.Time // since when the client waits for an answer; zero if it does not
 	closing   [2]bool   // client, backend server
 }
@@ -197,7 +203,7 @@
 		h = g.add(now, key, unsure)
 	}
 
-	h.forwarder, h.last = forwarder, now
+	h.forwarder, h.last, h.acked = forwarder, now, header.Acknowledged
 	g.clientSent(now, key, h, header)
 
 	return Decision{Kind: Deliver}
@@ -302,12 +308,13 @@
 
 	decision := Decision{Kind: ToClient, Forwarder: h.forwarder}
 
-	switch {
-	case h.state == opening:
+	switch h.state {
+	case opening:
 		g.counters.Accepted++
 		decision.Accepted = true
-	case h.state == unsure:
+	case unsure:
 		decision.Found = true
+	case open:
 	}
 
 	h.state, h.last, h.born = open, now, g.backend.born
@@ -362,6 +369,35 @@
 	}
 }
 
+// Orphan is a flow whose backend server has ended.
+type Orphan struct {
+	Key      flow.Key
+	Sequence uint32 // the last one that the client acknowledged
+}
+
+// Orphans forgets the flows whose backend server has ended and returns those
+// that their clients should be told of. A client that learns it while the flow
+// is idle does not lose its next request.
+func (g *Gate) Orphans() []Orphan {
+	var orphans []Orphan
+
+	for key, h := range g.flows {
+		if (h.born == g.backend.born && g.backend.state != ended) || h.state == unsure {
+			continue
+		}
+
+		if h.confirmed && !h.closed() {
+			orphans = append(orphans, Orphan{Key: key, Sequence: h.acked})
+		}
+
+		g.forget(key, h)
+	}
+
+	g.counters.Resets += uint64(len(orphans))
+
+	return orphans
+}
+
 // Locate tells an entry instance whether the backend server holds a flow.
 func (g *Gate) Locate(now time.Time, key flow.Key) flow.Answer {
 	h := g.flows[key]
@@ -381,9 +417,19 @@
 }
 
 // unsure reports whether the backend server may hold flows that the gate has
-// not seen.
+// not seen. One that has not reported in one and a half intervals since the gate
+// started is not there: it repeats a report that failed sooner.
 func (g *Gate) unsure(now time.Time) bool {
-	return g.backend.state != ended && !g.backend.watched && now.Sub(g.config.Boot) < learned
+	running := now.Sub(g.config.Boot)
+
+	switch g.backend.state {
+	case unheard:
+		return running < g.config.ReportInterval*3/2
+	case ended:
+		return false
+	default:
+		return !g.backend.watched && running < learned
+	}
 }
 
 // Sweep forgets flows that are no longer used and notices that the backend
--- /dev/null
+++ b/internal/coordination/gate/gate_test.go
@@ -0,0 +1,325 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/coordination/gate"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
+)
+
+var (
+	start     = time.UnixMilli(1_700_000_000_000)
+	forwarder = flow.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 7000}
+	key       = flow.Key{
+		Client:  flow.Endpoint{IP: [4]byte{192, 0, 2, 1}, Port: 40_000},
+		Service: flow.Endpoint{IP: [4]byte{198, 51, 100, 1}, Port: 443},
+	}
+)
+
+const interval = 770 * time.Millisecond
+
+// bench is a gate with a document.
+type bench struct {
+	*testing.T
+	is   *is.I
+	now  time.Time
+	gate *gate.Gate
+}
+
+func table(t *testing.T, version uint64, service string) *route.Table {
+	t.Helper()
+
+	built, err := route.New(&route.Document{
+		Version: version, Services: []string{"desk", "link"},
+		Routes: []route.Route{{
+			Address: key.Service.AddrPort(), Timeout: time.Second, Targets: []route.Target{{Service: service, Weight: 1}},
+		}},
+	})
+	is.New(t).NoErr(err)
+
+	return built
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+
+	g := gate.New(gate.Config{Service: "desk", Boot: start, ReportInterval: interval}, func(time.Duration) {})
+	g.Follow(table(t, 1, "desk"))
+
+	return &bench{T: t, is: is.New(t), now: start, gate: g}
+}
+
+func report(born time.Time, sequence uint64) gate.Report {
+	return gate.Report{ID: "a", Service: "desk", Born: born.UnixMilli(), Sequence: sequence, Slots: 3}
+}
+
+func (b *bench) report(r gate.Report) gate.Outcome {
+	b.Helper()
+
+	outcome, err := b.gate.Report(b.now, r)
+	b.is.NoErr(err)
+
+	return outcome
+}
+
+// fromClient passes a packet of the client and checks what happens to it.
+func (b *bench) fromClient(header flow.Header, want gate.Kind) gate.Decision {
+	b.Helper()
+	b.is.Helper()
+
+	header.Source, header.Destination = key.Client, key.Service
+	decision := b.gate.FromClient(b.now, forwarder, header)
+	b.is.Equal(decision.Kind, want)
+
+	return decision
+}
+
+// fromBackend passes a packet of the backend server.
+func (b *bench) fromBackend(header flow.Header, want gate.Kind) gate.Decision {
+	b.Helper()
+	b.is.Helper()
+
+	if header.Returned {
+		header.Source, header.Destination = key.Client, key.Service
+	} else {
+		header.Source, header.Destination = key.Service, key.Client
+	}
+
+	decision := b.gate.FromBackend(b.now, header)
+	b.is.Equal(decision.Kind, want)
+
+	return decision
+}
+
+var (
+	opens   = flow.Header{Open: true}
+	accepts = flow.Header{Open: true, Acks: true}
+	request = flow.Header{Acks: true, Acknowledged: 5, Length: 100}
+	answer  = flow.Header{Acks: true, Length: 200}
+)
+
+// open opens the flow.
+func (b *bench) open() {
+	b.Helper()
+	b.fromClient(opens, gate.Deliver)
+	b.is.True(b.fromBackend(accepts, gate.ToClient).Accepted)
+	b.fromClient(request, gate.Deliver)
+	b.fromBackend(answer, gate.ToClient)
+}
+
+// TestOpen guards against flows that start where they must not.
+func TestOpen(t *testing.T) {
+	t.Run("before the first report", func(t *testing.T) {
+		newBench(t).refuses(gate.ReasonUnknown)
+	})
+
+	t.Run("leaving", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+
+		leaving := report(start, 2)
+		leaving.Leaving = true
+		b.is.Equal(b.report(leaving), gate.Changed)
+		b.refuses(gate.ReasonLeaving)
+
+		// A leave is final for this start, whatever a confused report says.
+		b.report(report(start, 3))
+		b.refuses(gate.ReasonLeaving)
+	})
+
+	t.Run("ended", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+		b.gate.Leave("a", 0)
+		b.refuses(gate.ReasonEnded)
+	})
+
+	t.Run("silent", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+		b.is.True(b.gate.Sweep(b.now.Add(3*interval + 1)))
+		b.refuses(gate.ReasonUnknown)
+
+		b.report(report(start, 2))
+		b.fromClient(opens, gate.Deliver)
+	})
+
+	t.Run("route of another service", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+		b.gate.Follow(table(t, 2, "link"))
+		b.gate.Follow(table(t, 1, "desk")) // older
+		b.refuses(gate.ReasonNoRoute)
+	})
+
+	t.Run("full", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+		b.fromClient(opens, gate.Deliver)
+
+		returned := opens
+		returned.Returned = true
+		b.is.Equal(b.fromBackend(returned, gate.Return).Reason, gate.ReasonFull)
+		b.is.Equal(b.gate.Load(), roster.Load{})
+	})
+}
+
+func (b *bench) refuses(reason gate.Reason) {
+	b.Helper()
+	b.is.Helper()
+	b.is.Equal(b.fromClient(opens, gate.Return).Reason, reason)
+}
+
+// TestReport guards against reports that were overtaken, or that come from
+// somebody else.
+func TestReport(t *testing.T) {
+	b := newBench(t)
+	later := start.Add(time.Second)
+	b.is.Equal(b.report(report(later, 4)), gate.Changed)
+	b.is.Equal(b.report(report(later, 5)), gate.Unchanged)
+	b.is.Equal(b.report(report(later, 5)), gate.Late)
+	b.is.Equal(b.report(report(start, 99)), gate.Late) // of the start before
+	b.is.Equal(b.gate.Leave("a", start.UnixMilli()), gate.Late)
+	b.is.Equal(b.gate.Leave("other", 0), gate.Late)
+
+	// Counts start anew with each start.
+	b.is.Equal(b.report(report(later.Add(time.Second), 1)), gate.Changed)
+
+	foreign := report(later.Add(time.Hour), 1)
+	foreign.Service = "link"
+	_, err := b.gate.Report(b.now, foreign)
+	b.is.True(err != nil)
+
+	_, err = b.gate.Report(b.now, gate.Report{Service: "desk"})
+	b.is.True(err != nil)
+}
+
+// TestLoad guards against a load signal that drifts: placement and drain depend
+// on it.
+func TestLoad(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start, 1))
+	b.open()
+	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1})
+
+	b.fromClient(request, gate.Deliver)
+	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1, Waiting: 1})
+
+	closes := flow.Header{Acks: true, Close: true, Length: 10}
+	b.fromBackend(closes, gate.ToClient)
+	b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver)
+	b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver) // repeated
+	b.is.Equal(b.gate.Load(), roster.Load{})
+
+	b.gate.Sweep(b.now.Add(time.Minute))
+	b.is.Equal(b.gate.Load(), roster.Load{})
+}
+
+// TestRestart guards against flows that are lost when the agent restarts while
+// the backend server goes on.
+func TestRestart(t *testing.T) {
+	b := newBench(t)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+
+	b.report(report(start.Add(-time.Minute), 70))
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+
+	// The backend server holds the flow.
+	b.fromClient(request, gate.Deliver)
+	b.is.True(b.fromBackend(answer, gate.ToClient).Found)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+}
+
+// TestRestartNotHeld guards against a flow that stays with an agent whose
+// backend server does not hold it, and against its reset while another one may.
+func TestRestartNotHeld(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start.Add(-time.Minute), 70))
+	b.fromClient(request, gate.Deliver)
+
+	returned := request
+	returned.Returned = true
+	b.fromBackend(returned, gate.Return)
+	b.is.Equal(b.gate.Load(), roster.Load{})
+}
+
+// TestSecondAcceptance guards against the reset of a flow that two backend
+// servers have accepted and whose client uses the other one.
+func TestSecondAcceptance(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start, 1))
+	b.fromClient(opens, gate.Deliver)
+	b.fromBackend(accepts, gate.ToClient)
+	b.fromClient(request, gate.Deliver)
+
+	returned := request
+	returned.Returned = true
+	b.fromBackend(returned, gate.Return)
+}
+
+// TestKnows guards against searches that end without certainty: an agent that
+// has seen its backend server start knows all flows.
+func TestKnows(t *testing.T) {
+	cold := func(born time.Time, sequence uint64) gate.Report {
+		r := report(born, sequence)
+		r.Cold = time.Second
+
+		return r
+	}
+
+	for name, test := range map[string]struct {
+		report gate.Report
+		want   flow.Answer
+	}{
+		"first report":         {report(start.Add(-time.Hour), 1), flow.Absent},
+		"same start":           {cold(start, 3), flow.Absent},
+		"older and still cold": {cold(start.Add(-time.Second), 3), flow.Unsure},
+		"wrong clock":          {report(start.Add(time.Hour), 30), flow.Unsure},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.report(test.report)
+			b.is.Equal(b.gate.Locate(b.now, key), test.want)
+		})
+	}
+
+	t.Run("no backend server", func(t *testing.T) {
+		b := newBench(t)
+		b.is.Equal(b.gate.Locate(b.now.Add(4*interval), key), flow.Absent)
+	})
+}
+
+// TestReplaced guards against packets of a flow that reach the next backend
+// server at the address, and against clients that learn too late that their
+// flow is gone.
+func TestReplaced(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start, 1))
+	b.open()
+
+	b.report(report(start.Add(time.Second), 1))
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+
+	orphans := b.gate.Orphans()
+	b.is.Equal(orphans, []gate.Orphan{{Key: key, Sequence: 5}})
+	b.is.Equal(len(b.gate.Orphans()), 0)
+	b.is.Equal(b.gate.Load(), roster.Load{})
+
+	b.fromClient(request, gate.Return)
+}
+
+// TestEnded guards against the same for a packet that arrives before the flows
+// were reset.
+func TestEnded(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start, 1))
+	b.open()
+	b.report(report(start.Add(time.Second), 1))
+	b.is.Equal(b.fromClient(request, gate.Reset).Reason, gate.ReasonReplaced)
+	b.fromClient(opens, gate.Deliver)
+}
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -14,6 +14,8 @@
 	opening   entryState = iota + 1 // an agent was asked to open the flow
 	settled                         // the agent holds the flow
 	searching                       // agents are asked who holds the flow
+	lost                            // every agent has denied the flow
+	unknown                         // the last search was not conclusive
 )
 
 // entry is one flow of a router.
@@ -21,6 +23,10 @@
 	state entryState
 	agent flow.Endpoint
 	last  time.Time // last packet
+	// denied are the agents that have said that they do not hold the flow. A
+	// flow does not come to an agent later, so they are not asked again.
+	denied []flow.Endpoint
+	until  time.Time // when the result of a search without success is forgotten
 
 	*pending // nil once the flow is settled
 }
@@ -33,6 +39,9 @@
 	tried        []flow.Endpoint
 	awaited      []flow.Endpoint // agents that were asked and have not answered
 	unsure       []flow.Endpoint // agents that may hold the flow
+	expires      time.Time       // when the client stops waiting for its flow to open
+	offers       int             // agents that got the first packet and may still answer
+	asked        bool            // the likely agents were asked
 	probing      bool            // an unsure agent has the packets
 	silent       bool            // an agent did not answer
 }
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -22,10 +22,20 @@
 
 	r.counters.Opened++
 
-	e := &entry{state: opening, last: now, pending: &pending{packets: [][]byte{bytes.Clone(packet)}}}
+	e := r.undecide(now, key, packet)
+	r.offer(now, target, key, e, ReasonNone)
+}
+
+// undecide notes a flow that is to be opened. The agents that were tried have
+// refused it.
+func (r *Router) undecide(now time.Time, key flow.Key, packet []byte, tried ...flow.Endpoint) *entry {
+	e := &entry{state: opening, last: now, pending: &pending{
+		packets: [][]byte{bytes.Clone(packet)}, tried: tried, expires: now.Add(openLifetime),
+	}}
 	r.flows[key] = e
 	r.undecided[key] = e
-	r.offer(now, target, key, e, ReasonNone)
+
+	return e
 }
 
 // offer sends the first packet to the next candidate, or refuses the flow if
@@ -52,12 +62,27 @@
 	}
 
 	chosen.since++
+	e.offers++
 	e.agent = chosen.Address
 	e.tried = append(e.tried, chosen.Address)
 	e.due = now.Add(OpenTimeout)
 	r.forward(key, chosen.Address, e.packets[0], reason)
 }
 
+// notOpened goes on with a flow whose agent did not answer in time.
+func (r *Router) notOpened(now time.Time, target *route.Route, key flow.Key, e *entry) {
+	r.suspect(now, e.agent)
+
+	switch {
+	case !now.Before(e.expires):
+		r.forget(key) // the client has given up
+	case e.offers >= maxOffers:
+		e.due = e.expires
+	default:
+		r.offer(now, target, key, e, ReasonNoAnswer)
+	}
+}
+
 // choose returns the best agent for a new flow that was not tried yet, or nil.
 // The services of the other weights are the last resort.
 func (r *Router) choose(now time.Time, target *route.Route, key flow.Key, tried []flow.Endpoint) *agent {
@@ -184,6 +209,8 @@
 		r.refused(now, target, key, e, from, packet)
 	case e == nil:
 		r.search(now, target, key, &entry{}, header, packet, from)
+	case e.state == lost || e.state == unknown:
+		r.notFound(now, target, key, e, header, packet)
 	case e.state == searching:
 		r.notThere(now, target, key, e, from)
 	case e.agent == from:
@@ -202,18 +229,14 @@
 ) {
 	switch {
 	case e == nil:
-		e = &entry{state: opening, last: now, pending: &pending{
-			packets: [][]byte{bytes.Clone(packet)}, tried: []flow.Endpoint{from},
-		}}
-		r.flows[key] = e
-		r.undecided[key] = e
+		e = r.undecide(now, key, packet, from)
 	case e.state == settled && e.agent == from:
 		// A repetition of the first packet, at a backend server that has lost or
 		// ended the flow since.
-		e.state = opening
-		e.pending = &pending{packets: [][]byte{bytes.Clone(packet)}, tried: []flow.Endpoint{from}}
-		r.undecided[key] = e
-	case e.state != opening || e.agent != from:
+		e = r.undecide(now, key, packet, from)
+	case e.state == opening && e.agent == from:
+		e.offers-- // an answer, if not the desired one
+	default:
 		return
 	}
 
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
 )
 
@@ -23,7 +24,8 @@
 	r.counters.Located++
 
 	e.state, e.last = searching, now
-	e.pending = &pending{tried: excluded}
+	e.denied = append(e.denied, excluded...)
+	e.pending = &pending{tried: slices.Clone(e.denied)}
 	e.keep(header, packet)
 
 	r.flows[key] = e
@@ -31,27 +33,23 @@
 	r.ask(now, target, key, e)
 }
 
-// ask asks the next agents for a flow. Those of the services of the route come
-// first; a flow may also be older than the present route.
+// ask asks the next agents for a flow: first those that can have got it as a
+// new flow, then all others. A flow may also be older than the present route.
 func (r *Router) ask(now time.Time, target *route.Route, key flow.Key, e *entry) {
-	var likely, others []*agent
+	wave := r.likely(target, key, e.tried)
+	likely := !e.asked && len(wave) > 0
+	e.asked = true
 
-	for address, a := range r.agents {
-		switch {
-		case slices.Contains(e.tried, address):
-		case target.Allows(a.Service):
-			likely = append(likely, a)
-		default:
-			others = append(others, a)
-		}
-	}
+	g, gather, timeout, cost := &r.questions.likely, likelyGather, likelyTimeout, singleBytes
 
-	rank(likely, key.Hash())
-	rank(others, key.Hash())
+	if !likely {
+		wave = r.others(e.tried)
+		g, gather, timeout, cost = &r.questions.others, otherGather, otherTimeout, gatheredBytes
+	}
 
-	wave := append(likely, others...) //nolint:gocritic // the slices are not used again
-	if len(wave) > locateWave {
-		wave = wave[:locateWave]
+	if len(wave) > 0 && !r.budget.AllowN(now, len(wave)*cost) {
+		e.silent = true
+		wave = nil
 	}
 
 	if len(wave) == 0 {
@@ -63,45 +61,70 @@
 	for _, a := range wave {
 		e.tried = append(e.tried, a.Address)
 		e.awaited = append(e.awaited, a.Address)
-		r.act(Action{Kind: Locate, Key: key, To: a.Address})
+		g.add(now.Add(gather), a.Address, key)
 	}
 
-	e.due = now.Add(locateTimeout)
+	e.due = g.due.Add(timeout)
 }
 
-// Located tells what an agent said of a flow.
-func (r *Router) Located(now time.Time, from flow.Endpoint, key flow.Key, answer flow.Answer) []Action {
-	r.actions = r.actions[:0]
+// likely returns the agents among which a new flow of the key is placed.
+func (r *Router) likely(target *route.Route, key flow.Key, tried []flow.Endpoint) []*agent {
+	var found []*agent
 
+	for _, a := range r.services[target.Pick(key.Hash())] {
+		if !slices.Contains(tried, a.Address) {
+			found = append(found, a)
+		}
+	}
+
+	rank(found, key.Hash())
+
+	return found[:min(choices, len(found))]
+}
+
+// others returns the agents that were not asked yet.
+func (r *Router) others(tried []flow.Endpoint) []*agent {
+	var found []*agent
+
+	for address, a := range r.agents {
+		if !slices.Contains(tried, address) {
+			found = append(found, a)
+		}
+	}
+
+	return found
+}
+
+// located handles what an agent said of one flow.
+func (r *Router) located(now time.Time, from flow.Endpoint, key flow.Key, answer flow.Answer) {
 	e := r.flows[key]
 	if e == nil || e.state != searching {
-		return r.actions
+		return
 	}
 
 	target, ok := r.table.Find(key.Service)
 	if !ok {
 		r.forget(key)
 
-		return r.actions
+		return
 	}
 
 	switch answer {
 	case flow.Held:
 		r.found(now, key, e, from)
 
-		return r.actions
+		return
 	case flow.Unsure:
 		if !slices.Contains(e.unsure, from) {
 			e.unsure = append(e.unsure, from)
 		}
 	case flow.Absent:
+		e.denied = append(e.denied, from)
 	}
 
 	if r.answered(e, from) {
 		r.next(now, target, key, e)
 	}
-
-	return r.actions
 }
 
 // answered strikes an agent off those that are awaited and reports whether it
@@ -161,17 +184,28 @@
 // certain.
 func (r *Router) giveUp(now time.Time, key flow.Key, e *entry) {
 	sequence, certain := e.acknowledged, !e.silent && r.fresh(now) && len(r.agents) > 0
-	r.forget(key)
+
+	delete(r.undecided, key)
+
+	e.pending = nil
 	r.counters.Lost++
 
 	if certain {
+		e.state, e.until = lost, now.Add(lostFor)
 		r.reset(key, sequence, ReasonNotHeld)
+
+		return
 	}
+
+	e.state, e.until = unknown, now.Add(unknownFor)
 }
 
 // Due returns when Tick has to be called next, and false if nothing waits.
 func (r *Router) Due() (time.Time, bool) {
-	var due time.Time
+	due := r.questions.likely.due
+	if others := r.questions.others.due; due.IsZero() || (!others.IsZero() && others.Before(due)) {
+		due = others
+	}
 
 	for _, e := range r.undecided {
 		if due.IsZero() || e.due.Before(due) {
@@ -189,6 +223,8 @@
 func (r *Router) Tick(now time.Time) []Action {
 	r.actions = r.actions[:0]
 
+	r.flush(now)
+
 	for key, e := range r.undecided {
 		if now.Before(e.due) {
 			continue
@@ -212,19 +248,29 @@
 }
 
 func (r *Router) overdue(now time.Time, target *route.Route, key flow.Key, e *entry) {
-	switch {
-	case e.state == opening:
-		r.suspect(now, e.agent)
-		r.offer(now, target, key, e, ReasonNoAnswer)
-	case e.probing:
-		// The backend server did not return the packets, so it holds the flow.
-		e.packets = nil
-		r.settle(now, key, e, e.agent)
-	default:
-		e.silent = true
-		e.awaited = nil
-		r.next(now, target, key, e)
+	if e.state == opening {
+		r.notOpened(now, target, key, e)
+
+		return
+	}
+
+	// A backend server that holds the flow and has nothing to say looks like one
+	// that has ended. Its agent reports the flow with its next packet.
+	e.silent = e.silent || e.probing || !r.allSilent(e.awaited)
+	e.awaited = nil
+	r.next(now, target, key, e)
+}
+
+// allSilent reports whether the controllers have not heard the agents either.
+// Then their instances are lost, and so are the flows that they held.
+func (r *Router) allSilent(addresses []flow.Endpoint) bool {
+	for _, address := range addresses {
+		if a := r.agents[address]; a != nil && a.State != roster.Silent {
+			return false
+		}
 	}
+
+	return true
 }
 
 // suspect passes an agent over for new flows for a while.
@@ -236,6 +282,7 @@
 
 func (r *Router) sweep(now time.Time) {
 	r.swept = now
+	r.questions.expire(now)
 
 	for key, e := range r.flows {
 		if now.Sub(e.last) > retention {
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -23,16 +23,19 @@
 // # Open flows
 //
 // The table of flows is only a cache, because a flow may move to another entry
-// instance at any time. A packet of an unknown flow is kept while all agents
-// that can hold the flow are asked at once. Agents know the flows of their
+// instance at any time. A packet of an unknown flow is kept while the agents
+// that can hold the flow are asked: the likely ones first, then all others. Agents know the flows of their
 // backend servers; one that has restarted since may be unsure and gets the
 // packet only if no other holds the flow. The flow is reset only if every agent
-// has denied it.
+// has denied it. Searches have a budget, because after the loss of all instances
+// every client asks for a flow that nobody holds.
 package steering
 
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
@@ -44,9 +47,23 @@
 	// period of 100 ms in which an instance may be out of processor time.
 	OpenTimeout = 90 * time.Millisecond
 
-	// locateTimeout is how long agents may take to say whether they hold a
-	// flow, in which no backend server takes part.
-	locateTimeout = 60 * time.Millisecond
+	// openLifetime is how long a client waits for its flow to open. Later answers
+	// are of no use to it.
+	openLifetime = 1400 * time.Millisecond
+
+	// maxOffers bounds the agents that get a flow because the one before did not
+	// answer. Without it, agents that are slow under load got every flow of all
+	// others too, and the entry instances of a deployment with links of
+	// 4.4 Mbit/s sent nothing but first packets.
+	maxOffers = 3
+
+	// likelyTimeout is how long the likely agents may take to say whether they
+	// hold a flow, in which no backend server takes part.
+	likelyTimeout = 60 * time.Millisecond
+
+	// otherTimeout is the same for all other agents. It is above the queues of
+	// a full link, so that their answers are not asked for twice.
+	otherTimeout = 400 * time.Millisecond
 
 	// probeTimeout is how long an unsure agent may take to return a packet
 	// that its backend server does not hold.
@@ -73,8 +90,33 @@
 	// the memory of a flood of packets of unknown flows.
 	maxUndecided = 512
 
-	// locateWave is the number of agents that are asked at a time for a flow.
-	locateWave = 32
+	// lostFor is how long packets of a flow that nobody holds are answered
+	// without another search: the repetitions of a client that has not got the
+	// reset.
+	lostFor = 3 * time.Second
+
+	// unknownFor is how long packets of a flow are dropped after a search that
+	// was not conclusive: clients repeat packets after 200 ms.
+	unknownFor = 180 * time.Millisecond
+
+	// singleBytes is what a question for one flow and its answer take on a link,
+	// headers included.
+	singleBytes = 2 * 60
+
+	// gatheredBytes is what one flow of a question for many takes.
+	gatheredBytes = 14
+
+	// questionShare is the share of the link that searches may take, so that
+	// they leave room for the traffic of flows whose place is known.
+	questionShare = 0.2
+
+	// defaultLink is the link if the configuration does not state one, in bytes
+	// a second.
+	defaultLink = 1e6
+
+	// questionBurst is 128 searches over the 65 agents of the largest deployment
+	// in use, in bytes.
+	questionBurst = 128 * 65 * gatheredBytes
 
 	// choices is the number of agents among which the least loaded gets a new
 	// flow.
@@ -96,7 +138,7 @@
 const (
 	Forward ActionKind = iota + 1 // send Packet to the agent at To
 	Reset                         // reset the flow at its client
-	Locate                        // ask the agent at To whether it holds the flow
+	Locate                        // ask the agent at To whether it holds the flows of Question
 )
 
 // Reason is why a flow was refused, moved or reset, as it appears in logs.
@@ -121,6 +163,7 @@
 	Key      flow.Key
 	To       flow.Endpoint
 	Packet   []byte
+	Question Question
 	Sequence uint32 // of a Reset: the last one that the client acknowledged
 	Reason   Reason
 }
@@ -142,6 +185,7 @@
 type Config struct {
 	Zone string
 	Boot time.Time
+	Link float64 // of the instance, in bytes a second; 0 if it is not known
 }
 
 // Router holds the flows of one entry instance. One goroutine at a time uses
@@ -155,13 +199,22 @@
 	flows     map[flow.Key]*entry
 	undecided map[flow.Key]*entry
 	swept     time.Time
+	questions *questions
+	budget    *rate.Limiter // of questions, in bytes
 	actions   []Action
 	counters  Counters
 }
 
 // New returns a router without agents and routes.
 func New(config Config) *Router {
+	link := config.Link
+	if link <= 0 {
+		link = defaultLink
+	}
+
 	return &Router{
+		budget:    rate.NewLimiter(rate.Limit(questionShare*link), questionBurst),
+		questions: newQuestions(),
 		config:    config,
 		agents:    make(map[flow.Endpoint]*agent),
 		services:  make(map[string][]*agent),
@@ -320,6 +373,12 @@
 	switch {
 	case e.state == searching:
 		e.keep(header, packet)
+	case e.state == lost || e.state == unknown:
+		r.notFound(now, target, key, e, header, packet)
+	case e.state == opening && header.Opens() && e.offers >= maxOffers:
+		// The client has waited long enough for another try.
+		e.offers--
+		r.notOpened(now, target, key, e)
 	case r.agents[e.agent] == nil && !header.Opens():
 		// The agent is gone; another one may hold the flow by now.
 		r.search(now, target, key, e, header, packet)
@@ -328,6 +387,22 @@
 	}
 }
 
+// notFound decides about a packet of a flow that was searched in vain.
+func (r *Router) notFound(
+	now time.Time, target *route.Route, key flow.Key, e *entry, header flow.Header, packet []byte,
+) {
+	switch {
+	case header.Opens():
+		r.open(now, target, key, packet)
+	case now.After(e.until):
+		r.search(now, target, key, e, header, packet)
+	case e.state == lost:
+		r.reset(key, header.Acknowledged, ReasonNotHeld)
+	default:
+		r.counters.Dropped++
+	}
+}
+
 func (r *Router) forget(key flow.Key) {
 	delete(r.flows, key)
 	delete(r.undecided, key)
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -38,6 +38,10 @@
 	// bounds how often news lead to a poll.
 	eagerInterval = 50 * time.Millisecond
 
+	// spacing is the least time between two polls. News of many agents arrive
+	// together when a deployment starts.
+	spacing = 30 * time.Millisecond
+
 	// fetchInterval is how long a fetched document may take before it is
 	// fetched again: 256 KB take 0.5 s on the slowest link in use.
 	fetchInterval = 250 * time.Millisecond
@@ -86,6 +90,7 @@
 	settled     bool // the source was in touch with its group at its last answer
 	epoch       uint64
 	position    uint64
+	complete    bool      // the list of the source was complete when it was fetched as a whole
 	answered    time.Time // last answer of the source
 	heard       time.Time // last answer of any controller
 	fetched     time.Time // last Fetch
@@ -123,16 +128,21 @@
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := f.pollAll(time.Now())
-		timer := time.NewTimer(wait)
+		polled := time.Now()
+		f.sleep(ctx, f.pollAll(polled), f.kick)
+		f.sleep(ctx, spacing-time.Since(polled), nil)
+	}
+}
 
-		select {
-		case <-timer.C:
-		case <-f.kick:
-		case <-ctx.Done():
-		}
+// sleep waits until the time has passed, the signal arrives or ctx ends.
+func (*Follower) sleep(ctx context.Context, wait time.Duration, signal <-chan struct{}) {
+	timer := time.NewTimer(max(0, wait))
+	defer timer.Stop()
 
-		timer.Stop()
+	select {
+	case <-timer.C:
+	case <-signal:
+	case <-ctx.Done():
 	}
 }
 
@@ -287,7 +297,7 @@
 	f.config.Logger.Info("follows a controller", "controller", controller.String(), "settled", settled)
 
 	f.source, f.settled, f.answered = controller, settled, now
-	f.epoch, f.position = 0, 0
+	f.epoch, f.position, f.complete = 0, 0, false
 
 	if f.config.Follows {
 		f.Poll()
@@ -296,23 +306,34 @@
 
 func (f *Follower) fromSource(now time.Time, reply wire.PollReply) {
 	if f.config.Follows && reply.Epoch != 0 {
-		// A controller that has just started may not know all agents yet.
-		whole := reply.Whole && reply.Settled
-		if len(reply.Agents) > 0 || whole {
-			f.config.Events.Agents(now, reply.Agents, whole)
-		}
-
-		f.epoch, f.position = reply.Epoch, reply.Position
-		if reply.Whole && !whole {
-			f.epoch = 0 // the whole list is needed again once it is complete
-		}
+		f.agents(now, reply)
 	}
 
-	if reply.Settled && reply.Version <= f.version && (!f.config.Follows || f.epoch == reply.Epoch) {
+	if reply.Settled && reply.Version <= f.version && (!f.config.Follows || f.complete) {
 		f.config.Events.Confirmed(now)
 	}
 }
 
+// agents applies the list of the source. The list of a controller that has just
+// started may lack agents, so it is added to what is known; the whole list is
+// fetched again once it is complete.
+func (f *Follower) agents(now time.Time, reply wire.PollReply) {
+	if reply.Whole && reply.Settled {
+		f.complete = true
+	}
+
+	if len(reply.Agents) > 0 || reply.Whole {
+		f.config.Events.Agents(now, reply.Agents, reply.Whole && reply.Settled)
+	}
+
+	f.epoch, f.position = reply.Epoch, reply.Position
+
+	if reply.Settled && !f.complete {
+		f.epoch = 0
+		f.Poll()
+	}
+}
+
 func (f *Follower) document(now time.Time, from netip.AddrPort, body []byte) {
 	document, err := route.Decode(body)
 	if err != nil {
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -68,6 +68,9 @@
 	// Linger is how long the instance forwards after it reports that it is not
 	// ready: the fabric needs several health checks to take it out of rotation.
 	Linger time.Duration
+	// Link is the bandwidth of the instance in bytes a second; 0 if it is not
+	// known.
+	Link float64
 }
 
 // Forwarder is one entry instance.
@@ -105,7 +108,7 @@
 	f := &Forwarder{
 		settings: settings, codec: codec, logger: logger, data: data, inner: inner,
 		wake:   make(chan struct{}, 1),
-		router: steering.New(steering.Config{Zone: settings.Zone, Boot: time.Now()}),
+		router: steering.New(steering.Config{Zone: settings.Zone, Boot: time.Now(), Link: settings.Link}),
 	}
 	f.follower = follower.New(follower.Config{
 		Conn: inner, Boot: rand.Uint64(), Seeds: settings.Seeds, Events: events{f}, Follows: true, Logger: logger,
@@ -237,7 +240,14 @@
 			return err
 		}
 
-		f.do(f.router.Located(now, sender, located.Key, located.Answer))
+		f.do(f.router.Located(now, sender, located.ID, located.Answers))
+	case wire.KindFound:
+		found, err := wire.ParseFound(body)
+		if err != nil {
+			return err
+		}
+
+		f.do(f.router.Found(now, sender, found.Key))
 	case wire.KindReturned:
 		returned, err := wire.ParseReturned(body)
 		if err != nil {
@@ -282,7 +292,7 @@
 		client := netip.AddrPortFrom(action.Key.Client.Addr(), f.settings.ClientPort)
 		_, err = f.data.WriteToUDPAddrPort(f.buffer, client)
 	case steering.Locate:
-		f.buffer = wire.Locate{Key: action.Key}.Append(f.buffer[:0])
+		f.buffer = wire.Locate{ID: action.Question.ID, Keys: action.Question.Keys}.Append(f.buffer[:0])
 		agent := netip.AddrPortFrom(action.To.Addr(), f.settings.Inner.Port())
 		err = f.inner.Send(agent, f.buffer)
 	}
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -22,6 +22,10 @@
 	// not have: the message may be lost.
 	repeatNews = 60 * time.Millisecond
 
+	// newsSpacing is the least time between two news for one instance about
+	// agents. An instance that polls later gets all changes at once.
+	newsSpacing = 30 * time.Millisecond
+
 	// maxRepeats bounds the repetitions for one document.
 	maxRepeats = 10
 )
@@ -57,7 +61,7 @@
 	r.mutex.Unlock()
 
 	if urgent {
-		r.news(now, func(p *poller) bool { return p.follows })
+		r.agentNews(now)
 	}
 
 	message, err := wire.Encode(wire.KindPollReply, reply)
@@ -151,6 +155,11 @@
 	}
 }
 
+// agentNews tells the instances that follow the list of a change.
+func (r *Registry) agentNews(now time.Time) {
+	r.news(now, func(p *poller) bool { return p.follows && now.Sub(p.told) >= newsSpacing })
+}
+
 // documentNews tells all instances of a new document, and again those that do
 // not have it.
 func (r *Registry) documentNews(now time.Time) {
@@ -203,7 +212,7 @@
 
 		if changed {
 			r.logger.Warn("agents fell silent", "agents", r.Agents())
-			r.news(now, func(p *poller) bool { return p.follows })
+			r.agentNews(now)
 		}
 
 		r.documentNews(now)
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -167,6 +167,10 @@
 func (s *Sidecar) Report(report gate.Report) (gate.Outcome, error) {
 	s.mutex.Lock()
 	outcome, err := s.gate.Report(time.Now(), report)
+
+	if outcome == gate.Changed {
+		s.resetOrphans()
+	}
 	s.mutex.Unlock()
 
 	switch {
@@ -196,6 +200,24 @@
 	}
 }
 
+// resetOrphans resets the flows whose backend server has ended. The caller holds
+// the mutex.
+func (s *Sidecar) resetOrphans() {
+	orphans := s.gate.Orphans()
+	if len(orphans) == 0 {
+		return
+	}
+
+	for _, orphan := range orphans {
+		s.buffer = s.codec.AppendReset(s.buffer[:0], orphan.Key, orphan.Sequence)
+		if err := s.toClient(orphan.Key, s.buffer); err != nil {
+			s.logger.Debug("a reset did not leave", "flow", orphan.Key.String(), "error", err)
+		}
+	}
+
+	s.logger.Info("reset the flows of a backend server that has ended", "flows", len(orphans))
+}
+
 // Run passes packets until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	running, stop := context.WithCancelCause(ctx)
@@ -302,7 +324,7 @@
 			wire.Accepted{Key: key, Load: s.gate.Load()}.Append(s.buffer[:0])))
 	case decision.Found:
 		err = errors.Join(err, s.notify(decision.Forwarder,
-			wire.Located{Key: key, Answer: flow.Held}.Append(s.buffer[:0])))
+			wire.Found{Key: key}.Append(s.buffer[:0])))
 	}
 
 	if err != nil {
@@ -348,11 +370,16 @@
 		return
 	}
 
+	located := wire.Located{ID: asked.ID}
+	now := time.Now()
+
 	s.mutex.Lock()
-	answer := s.gate.Locate(time.Now(), asked.Key)
+	for _, key := range asked.Keys {
+		located.Answers = append(located.Answers, s.gate.Locate(now, key))
+	}
 	s.mutex.Unlock()
 
-	if err := s.inner.Send(from, wire.Located{Key: asked.Key, Answer: answer}.Append(nil)); err != nil {
+	if err := s.inner.Send(from, located.Append(nil)); err != nil {
 		s.logger.Debug("an answer did not leave", "to", from, "error", err)
 	}
 }
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -41,6 +41,7 @@
 	KindReturned                   // Returned, to an entry instance
 	KindLocate                     // Locate, to an agent
 	KindLocated                    // Located, to an entry instance
+	KindFound                      // Found, to an entry instance
 )
 
 // ErrorKind classifies an Error.
@@ -129,6 +130,7 @@
 	endpointBytes = 6
 	keyBytes      = 2 * endpointBytes
 	loadBytes     = 4
+	idBytes       = 4
 )
 
 func appendEndpoint(buffer []byte, endpoint flow.Endpoint) []byte {
@@ -165,8 +167,7 @@
 	return nil
 }
 
-// Accepted tells that the backend server of the sender has accepted a flow, or
-// holds it after a search.
+// Accepted tells that the backend server of the sender has accepted a flow.
 type Accepted struct {
 	Key  flow.Key
 	Load roster.Load
@@ -207,39 +208,79 @@
 	return Returned{Load: parseLoad(body), Packet: body[loadBytes:]}, nil
 }
 
-// Locate asks an agent whether its backend server holds a flow.
-type Locate struct{ Key flow.Key }
+// Found tells that the sender holds a flow that it was unsure of.
+type Found struct{ Key flow.Key }
+
+// Append appends the message to the buffer.
+func (f Found) Append(buffer []byte) []byte {
+	return appendKey(append(buffer, byte(KindFound)), f.Key)
+}
+
+// ParseFound reads the body of a Found.
+func ParseFound(body []byte) (Found, error) {
+	if err := need("parse found", body, keyBytes); err != nil {
+		return Found{}, err
+	}
+
+	return Found{Key: parseKey(body)}, nil
+}
+
+// Locate asks an agent whether its backend server holds flows.
+type Locate struct {
+	ID   uint32 // of the question, for the answer
+	Keys []flow.Key
+}
 
 // Append appends the message to the buffer.
 func (l Locate) Append(buffer []byte) []byte {
-	return appendKey(append(buffer, byte(KindLocate)), l.Key)
+	buffer = binary.LittleEndian.AppendUint32(append(buffer, byte(KindLocate)), l.ID)
+	for _, key := range l.Keys {
+		buffer = appendKey(buffer, key)
+	}
+
+	return buffer
 }
 
 // ParseLocate reads the body of a Locate.
 func ParseLocate(body []byte) (Locate, error) {
-	if err := need("parse locate", body, keyBytes); err != nil {
+	if err := need("parse locate", body, idBytes+keyBytes); err != nil {
 		return Locate{}, err
 	}
 
-	return Locate{Key: parseKey(body)}, nil
+	locate := Locate{ID: binary.LittleEndian.Uint32(body)}
+	for body = body[idBytes:]; len(body) >= keyBytes; body = body[keyBytes:] {
+		locate.Keys = append(locate.Keys, parseKey(body))
+	}
+
+	return locate, nil
 }
 
-// Located answers a Locate.
+// Located answers a Locate, in the order of its keys.
 type Located struct {
-	Key    flow.Key
-	Answer flow.Answer
+	ID      uint32
+	Answers []flow.Answer
 }
 
 // Append appends the message to the buffer.
 func (l Located) Append(buffer []byte) []byte {
-	return append(appendKey(append(buffer, byte(KindLocated)), l.Key), byte(l.Answer))
+	buffer = binary.LittleEndian.AppendUint32(append(buffer, byte(KindLocated)), l.ID)
+	for _, answer := range l.Answers {
+		buffer = append(buffer, byte(answer))
+	}
+
+	return buffer
 }
 
 // ParseLocated reads the body of a Located.
 func ParseLocated(body []byte) (Located, error) {
-	if err := need("parse located", body, keyBytes+1); err != nil {
+	if err := need("parse located", body, idBytes); err != nil {
 		return Located{}, err
 	}
 
-	return Located{Key: parseKey(body), Answer: flow.Answer(body[keyBytes])}, nil
+	located := Located{ID: binary.LittleEndian.Uint32(body)}
+	for _, answer := range body[idBytes:] {
+		located.Answers = append(located.Answers, flow.Answer(answer))
+	}
+
+	return located, nil
 }
--- a/internal/transport/frag/frag.go
+++ b/internal/transport/frag/frag.go
@@ -90,6 +90,9 @@
 	partial map[partialKey]*partial // used by Serve only
 }
 
+// buffer holds one datagram that is sent.
+type buffer [fragmentHeader + fragmentBytes]byte
+
 type partialKey struct {
 	from netip.AddrPort
 	id   uint32
@@ -115,7 +118,7 @@
 
 	return &Conn{
 		udp: udp, logger: logger, partial: make(map[partialKey]*partial),
-		buffers: sync.Pool{New: func() any { return new([fragmentHeader + fragmentBytes]byte) }},
+		buffers: sync.Pool{New: func() any { return new(buffer) }},
 	}, nil
 }
 
@@ -240,24 +243,24 @@
 		return newError("send", KindTooLarge, fmt.Errorf("%d bytes, at most %d are allowed", len(message), MaxMessageBytes))
 	}
 
-	buffer := c.buffers.Get().(*[fragmentHeader + fragmentBytes]byte) //nolint:forcetypeassert // the pool holds nothing else
-	defer c.buffers.Put(buffer)
+	datagram := c.buffers.Get().(*buffer) //nolint:forcetypeassert // the pool holds nothing else
+	defer c.buffers.Put(datagram)
 
 	if len(message) <= fragmentBytes {
-		return c.write(to, append(append(buffer[:0], whole), message...))
+		return c.write(to, append(append(datagram[:0], whole), message...))
 	}
 
 	id := c.nextID.Add(1)
 	count := (len(message) + fragmentBytes - 1) / fragmentBytes
 
 	for number := range count {
-		datagram := append(buffer[:0], fragment)
-		datagram = binary.LittleEndian.AppendUint32(datagram, id)
-		datagram = binary.LittleEndian.AppendUint16(datagram, uint16(number))
-		datagram = binary.LittleEndian.AppendUint16(datagram, uint16(count))
-		datagram = append(datagram, message[number*fragmentBytes:min((number+1)*fragmentBytes, len(message))]...)
+		part := append(datagram[:0], fragment) //nolint:gocritic // the buffer is used again
+		part = binary.LittleEndian.AppendUint32(part, id)
+		part = binary.LittleEndian.AppendUint16(part, uint16(number))
+		part = binary.LittleEndian.AppendUint16(part, uint16(count))
+		part = append(part, message[number*fragmentBytes:min((number+1)*fragmentBytes, len(message))]...)
 
-		if err := c.write(to, datagram); err != nil {
+		if err := c.write(to, part); err != nil {
 			return err
 		}
 	}
