Announce agents that stop with their backend server

Ruled out: agents that are restarted beside a running backend server; they must stay in the list. Change: an agent that stops without a backend server announces itself as gone.

--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -146,6 +146,10 @@
 	}
 }
 
+// Farewell polls once more, so that controllers learn at once how an agent
+// stops.
+func (f *Follower) Farewell() { f.pollAll(time.Now()) }
+
 // pollAll polls every controller and returns the time until the next poll.
 func (f *Follower) pollAll(now time.Time) time.Duration {
 	f.mutex.Lock()
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -83,9 +83,10 @@
 	inner    *frag.Conn
 	follower *follower.Follower
 
-	mutex  sync.Mutex // guards everything below
-	gate   *gate.Gate
-	buffer []byte
+	mutex    sync.Mutex // guards everything below
+	gate     *gate.Gate
+	stopping bool
+	buffer   []byte
 }
 
 // New opens the sockets.
@@ -156,6 +157,13 @@
 	defer s.mutex.Unlock()
 
 	record := s.gate.Record(now)
+
+	// Without its backend server the agent is not coming back: nobody has to
+	// wait for its answers. Otherwise it is only restarted.
+	if s.stopping && (record.State == roster.Ended || record.State == roster.Starting) {
+		record.State = roster.Gone
+	}
+
 	record.Zone = s.settings.Zone
 	record.Address, _ = flow.NewEndpoint(s.settings.Data) // it was opened as IPv4
 
@@ -231,6 +239,11 @@
 
 	<-running.Done()
 
+	s.mutex.Lock()
+	s.stopping = true
+	s.mutex.Unlock()
+	s.follower.Farewell()
+
 	closing := s.close()
 
 	parts.Wait()
