--- /dev/null
+++ b/internal/program/registry/registry_test.go
@@ -0,0 +1,350 @@
+package registry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/program/registry"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/route"
+)
+
+// patience bounds the waits for a state. Elections take less than a second.
+const patience = 20 * time.Second
+
+// network hands out loopback addresses, one for each controller of a test.
+var network atomic.Int32
+
+// controllers is a group of controllers of one test, all on one port.
+type controllers struct {
+	*testing.T
+	is        *is.I
+	directory string
+	net       int32
+	port      uint16
+	seeds     []flow.Endpoint
+
+	mutex   sync.Mutex
+	running map[int]*process
+}
+
+type process struct {
+	*registry.Registry
+	stop context.CancelFunc
+	done chan error
+}
+
+func newControllers(t *testing.T) *controllers {
+	t.Helper()
+
+	c := &controllers{
+		T: t, is: is.New(t), directory: t.TempDir(), net: 40 + network.Add(1), port: 21_000,
+		running: make(map[int]*process),
+	}
+
+	for number := range 3 {
+		c.seeds = append(c.seeds, c.address(number+1))
+	}
+
+	t.Cleanup(func() {
+		for number := range c.running {
+			c.kill(number)
+		}
+	})
+
+	return c
+}
+
+func (c *controllers) address(number int) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{127, 0, byte(c.net), byte(number)}, Port: c.port}
+}
+
+func interpret(document []byte) (*route.Document, error) {
+	decoded := &route.Document{}
+
+	return decoded, json.Unmarshal(document, decoded)
+}
+
+// start starts a controller with the disk of that name.
+func (c *controllers) start(number int, disk string, first bool) {
+	c.Helper()
+
+	built, err := registry.New(registry.Settings{
+		Name: fmt.Sprint(number), Inner: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
+		Seeds: func() []flow.Endpoint { return c.seeds }, First: first, Losses: 2,
+	}, interpret, slog.New(slog.DiscardHandler))
+	c.is.NoErr(err)
+
+	ctx, stop := context.WithCancel(context.Background())
+	started := &process{Registry: built, stop: stop, done: make(chan error, 1)}
+
+	go func() { started.done <- built.Run(ctx) }()
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.running[number] = started
+}
+
+func (c *controllers) found(count int) {
+	c.Helper()
+
+	for number := range count {
+		c.start(number+1, fmt.Sprint(number+1), true)
+	}
+}
+
+func (c *controllers) kill(number int) {
+	c.Helper()
+
+	stopped := c.running[number]
+	delete(c.running, number)
+	stopped.stop()
+	c.is.NoErr(<-stopped.done)
+}
+
+func document(version uint64) []byte {
+	encoded, err := json.Marshal(route.Document{
+		Version: version, Services: []string{"desk"},
+		Routes: []route.Route{{
+			Address: netip.MustParseAddrPort("198.51.100.1:443"), Timeout: time.Second,
+			Targets: []route.Target{{Service: "desk", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		panic(err) // the document is constant
+	}
+
+	return encoded
+}
+
+// submit sends a document to any controller until one accepts it.
+func (c *controllers) submit(version uint64) {
+	c.Helper()
+
+	c.eventually(fmt.Sprintf("version %d is accepted", version), func() bool {
+		for _, p := range c.running {
+			if held, err := p.Submit(context.Background(), version, document(version)); err == nil {
+				c.is.True(held >= version)
+
+				return true
+			}
+		}
+
+		return false
+	})
+}
+
+// reads checks that whoever answers has the version.
+func (c *controllers) reads(version uint64) {
+	c.Helper()
+
+	c.eventually(fmt.Sprintf("version %d is read", version), func() bool {
+		answered := false
+
+		for _, p := range c.running {
+			held, data, err := p.Newest(context.Background())
+			if err != nil {
+				continue
+			}
+
+			answered = true
+
+			c.is.Equal(held, version)
+			c.is.Equal(string(data), string(document(version)))
+		}
+
+		return answered
+	})
+}
+
+func (c *controllers) members(want ...int) {
+	c.Helper()
+
+	c.eventually(fmt.Sprintf("the members are %v", want), func() bool {
+		for _, p := range c.running {
+			found := map[flow.Endpoint]bool{}
+			for _, member := range p.Controllers() {
+				found[member] = true
+			}
+
+			complete := len(found) == len(want) && len(p.Controllers()) == len(want)
+			for _, number := range want {
+				complete = complete && found[c.address(number)]
+			}
+
+			if !complete {
+				return false
+			}
+		}
+
+		return true
+	})
+}
+
+func (c *controllers) eventually(what string, condition func() bool) {
+	c.Helper()
+
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+
+	c.Fatalf("not within %v: %s", patience, what)
+}
+
+// TestFound guards against a group that accepts documents before enough disks
+// store them, or that leaves out controllers that are no seeds.
+func TestFound(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(3)
+	time.Sleep(2 * time.Second)
+
+	for _, p := range c.running {
+		_, err := p.Submit(context.Background(), 1, document(1))
+
+		var failed *registry.Error
+
+		c.is.True(errors.As(err, &failed))
+	}
+
+	c.start(4, "4", true)
+	c.start(5, "5", true)
+	c.submit(1)
+	c.members(1, 2, 3, 4, 5)
+	c.reads(1)
+}
+
+// TestRepeat guards against a repeated, older or different document that
+// changes what is in force, and against an invalid one that is accepted.
+func TestRepeat(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(5)
+	c.submit(7)
+	c.submit(7)
+	c.submit(3)
+	c.reads(7)
+
+	for _, p := range c.running {
+		var failed *registry.Error
+
+		_, err := p.Submit(context.Background(), 9, []byte(`{"Version":9,"Routes":[{}]}`))
+		c.is.True(errors.As(err, &failed))
+		c.is.Equal(failed.Kind(), registry.KindInvalid)
+
+		_, err = p.Submit(context.Background(), 9, make([]byte, registry.MaxDocumentBytes+1))
+		c.is.True(errors.As(err, &failed))
+		c.is.Equal(failed.Kind(), registry.KindTooLarge)
+	}
+
+	c.reads(7)
+}
+
+// TestRestartAll guards against an accepted document that is gone after all
+// controllers have stopped, and against a group that does not come back.
+func TestRestartAll(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(5)
+	c.submit(1)
+
+	for number := range 5 {
+		c.kill(number + 1)
+	}
+
+	for number := range 5 {
+		c.start(number+1, fmt.Sprint(number+1), false)
+	}
+
+	c.reads(1)
+	c.submit(2)
+	c.reads(2)
+}
+
+// TestLostDisks guards against the loss of an accepted document when two disks
+// are lost, and against replicas with empty disks that count as old ones.
+func TestLostDisks(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(5)
+	c.submit(1)
+	c.members(1, 2, 3, 4, 5)
+
+	for round := range 2 {
+		for _, number := range []int{1 + round, 4 + round} {
+			c.kill(number)
+		}
+
+		for _, number := range []int{1 + round, 4 + round} {
+			c.start(number, fmt.Sprintf("%d-%d", number, round), false)
+		}
+
+		c.reads(uint64(1 + round))
+		c.submit(uint64(2 + round))
+		c.members(1, 2, 3, 4, 5)
+	}
+
+	c.reads(3)
+}
+
+// TestReplaced guards against a group that waits for a controller that is gone
+// for good, and against a newcomer that is never heard.
+func TestReplaced(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(5)
+	c.submit(1)
+	c.kill(2)
+	c.start(6, "6", false)
+	c.members(1, 3, 4, 5, 6)
+	c.submit(2)
+	c.reads(2)
+
+	// The one that was given up comes back: it is a member again.
+	c.start(2, "2", false)
+	c.members(1, 2, 3, 4, 5, 6)
+	c.reads(2)
+}
+
+// TestMinority guards against documents and answers of controllers that have
+// lost the others.
+func TestMinority(t *testing.T) {
+	t.Parallel()
+
+	c := newControllers(t)
+	c.found(5)
+	c.submit(1)
+
+	for number := range 3 {
+		c.kill(number + 1)
+	}
+
+	time.Sleep(2 * time.Second)
+
+	for _, p := range c.running {
+		_, err := p.Submit(context.Background(), 2, document(2))
+		c.is.True(err != nil)
+
+		_, _, err = p.Newest(context.Background())
+		c.is.True(err != nil)
+	}
+}
