Use the other services of a route only in a complete view

Ruled out: a change of weights (none in that time) and slow backend servers (service times were as before). Change: the last resort needs a view that a settled controller has confirmed. TestOpenOtherService replays the moment.

--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -84,7 +84,9 @@
 }
 
 // choose returns the best agent for a new flow that was not tried yet, or nil.
-// The services of the other weights are the last resort.
+// The services of the other weights are the last resort, and only in a view that
+// is complete: after the loss of all instances the first service that came back
+// got the flows of the others, and kept them.
 func (r *Router) choose(now time.Time, target *route.Route, key flow.Key, tried []flow.Endpoint) *agent {
 	hash := key.Hash()
 	picked := target.Pick(hash)
@@ -93,6 +95,10 @@
 		return chosen
 	}
 
+	if !r.fresh(now) {
+		return nil
+	}
+
 	for _, other := range target.Targets {
 		if other.Service == picked || other.Weight == 0 {
 			continue
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -9,6 +9,7 @@
 	"jayspindle/internal/coordination/steering"
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/roster"
+	"jayspindle/internal/state/route"
 )
 
 // maxImbalance is the target for flows over backend servers: busiest to mean.
@@ -148,6 +149,23 @@
 	w.one(w.router.Packet(w.now.Add(steering.OpenTimeout), opening(client(2)), []byte("open")), steering.Forward)
 }
 
+// TestOpenOtherService replays the moments after the loss of all instances: the
+// agents of one service are back first. It must not get the flows of the other
+// services of a route for good, but take them when those stay away.
+func TestOpenOtherService(t *testing.T) {
+	w := newWorld(t, 3)
+
+	split := toService("link")
+	split.Targets = []route.Target{{Service: "link", Weight: 1_000_000}, {Service: "desk", Weight: 1}}
+	w.router.Follow(table(t, 2, split))
+
+	w.now = start.Add(time.Minute) // the view is not confirmed
+	w.is.Equal(len(w.router.Packet(w.now, opening(client(1)), []byte("open"))), 0)
+
+	w.router.Confirm(w.now)
+	w.one(w.router.Packet(w.now, opening(client(1)), []byte("open")), steering.Forward)
+}
+
 // TestOpenDraining guards against new flows for a backend server that leaves,
 // and against open flows that are moved away from it.
 func TestOpenDraining(t *testing.T) {
