--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -185,6 +185,7 @@
 	// The first agent that accepts keeps the flow: its answer reaches the client
 	// first as well, most of the time.
 	if e := r.flows[key]; e != nil && e.state == opening {
+		r.config.Opened(openLifetime - e.expires.Sub(now))
 		r.settle(now, key, e, from)
 	}
 
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -186,6 +186,8 @@
 	Zone string
 	Boot time.Time
 	Link float64 // of the instance, in bytes a second; 0 if it is not known
+	// Opened is called with the time that each new flow took to be accepted.
+	Opened func(elapsed time.Duration)
 }
 
 // Router holds the flows of one entry instance. One goroutine at a time uses
@@ -207,6 +209,10 @@
 
 // New returns a router without agents and routes.
 func New(config Config) *Router {
+	if config.Opened == nil {
+		config.Opened = func(time.Duration) {}
+	}
+
 	link := config.Link
 	if link <= 0 {
 		link = defaultLink
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"jayspindle/internal/coordination/steering"
 	"jayspindle/internal/program/follower"
 	"jayspindle/internal/program/group"
+	"jayspindle/internal/program/latency"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/failure"
 	"jayspindle/internal/state/flow"
@@ -81,8 +82,11 @@
 	data     *net.UDPConn
 	inner    *frag.Conn
 	follower *follower.Follower
+	opened   *latency.Histogram // time until a new flow was accepted
 	stopping atomic.Bool
-	wake     chan struct{}
+
+	malformed atomic.Uint64 // datagrams that are no packets
+	wake      chan struct{}
 
 	mutex  sync.Mutex // guards everything below
 	router *steering.Router
@@ -105,10 +109,13 @@
 		return nil, errors.Join(newError("listen", KindListen, err), data.Close())
 	}
 
+	opened := latency.New()
 	f := &Forwarder{
-		settings: settings, codec: codec, logger: logger, data: data, inner: inner,
-		wake:   make(chan struct{}, 1),
-		router: steering.New(steering.Config{Zone: settings.Zone, Boot: time.Now(), Link: settings.Link}),
+		settings: settings, codec: codec, logger: logger, data: data, inner: inner, opened: opened,
+		wake: make(chan struct{}, 1),
+		router: steering.New(steering.Config{
+			Zone: settings.Zone, Boot: time.Now(), Link: settings.Link, Opened: opened.Observe,
+		}),
 	}
 	f.follower = follower.New(follower.Config{
 		Conn: inner, Boot: rand.Uint64(), Seeds: settings.Seeds, Events: events{f}, Follows: true, Logger: logger,
@@ -129,6 +136,26 @@
 	return f.router.Serving()
 }
 
+// Metrics is what an entry instance counts.
+type Metrics struct {
+	Decisions steering.Counters `json:"decisions"`
+	Flows     int               `json:"flows"`   // whose place is known
+	Version   uint64            `json:"version"` // of the document in force
+	Opened    latency.Summary   `json:"opened"`  // time until a new flow was accepted
+	Malformed uint64            `json:"malformed"`
+}
+
+// Metrics returns the counts since the start.
+func (f *Forwarder) Metrics() Metrics {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return Metrics{
+		Decisions: f.router.Counters(), Flows: f.router.Flows(), Version: f.router.Version(),
+		Opened: f.opened.Summary(), Malformed: f.malformed.Load() + f.inner.Dropped(),
+	}
+}
+
 // Run forwards packets until ctx ends and the linger time has passed.
 func (f *Forwarder) Run(ctx context.Context) error {
 	running, stop := context.WithCancelCause(context.WithoutCancel(ctx))
@@ -190,6 +217,7 @@
 func (f *Forwarder) packet(packet []byte) {
 	header, err := f.codec.Decode(packet)
 	if err != nil {
+		f.malformed.Add(1)
 		f.logger.Debug("dropped a packet", "error", err)
 
 		return
--- a/internal/program/registry/operate.go
+++ b/internal/program/registry/operate.go
@@ -87,6 +87,7 @@
 		return 0, newError("submit", KindInvalid, err)
 	}
 
+	begun := time.Now()
 	answer := r.ask(ctx, "submit", func(o *owner, now time.Time, reply chan<- outcome) {
 		o.submit(now, catalog.Approve{Version: version, Document: compressed}, reply)
 	})
@@ -96,6 +97,7 @@
 		return 0, answer.err
 	}
 
+	r.accepts.Observe(time.Since(begun))
 	r.logger.Info("accepted a document", "version", version, "in_force", answer.version)
 
 	return answer.version, nil
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"jayspindle/internal/program/group"
+	"jayspindle/internal/program/latency"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/failure"
 	"jayspindle/internal/state/flow"
@@ -107,6 +108,7 @@
 	started   time.Time
 	events    chan event
 	published atomic.Pointer[published]
+	accepts   *latency.Histogram // time until a document was accepted
 
 	mutex    sync.Mutex // guards the list of agents and the pollers
 	list     *roster.List
@@ -154,8 +156,8 @@
 
 	r := &Registry{
 		settings: settings, interpret: interpret, logger: logger, self: self, inner: inner, started: time.Now(),
-		events: make(chan event, inboxSize),
-		list:   roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
+		events: make(chan event, inboxSize), accepts: latency.New(),
+		list: roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
 	}
 	r.published.Store(&published{})
 
@@ -191,6 +193,26 @@
 	return closing
 }
 
+// Metrics is what a controller counts.
+type Metrics struct {
+	Version     uint64          `json:"version"` // of the document in force
+	Agents      int             `json:"agents"`
+	Controllers int             `json:"controllers"` // members of the group
+	Led         bool            `json:"led"`         // a leader is known
+	Accepted    latency.Summary `json:"accepted"`    // time until a document was accepted
+	Malformed   uint64          `json:"malformed"`
+}
+
+// Metrics returns the counts since the start.
+func (r *Registry) Metrics() Metrics {
+	current := r.published.Load()
+
+	return Metrics{
+		Version: current.version, Agents: r.Agents(), Controllers: len(current.controllers), Led: current.led,
+		Accepted: r.accepts.Summary(), Malformed: r.inner.Dropped(),
+	}
+}
+
 // handOverTimeout is the time in which a leader that stops looks for another
 // one: two elections.
 const handOverTimeout = 800 * time.Millisecond
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -20,11 +20,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jayspindle/internal/coordination/gate"
 	"jayspindle/internal/program/follower"
 	"jayspindle/internal/program/group"
+	"jayspindle/internal/program/latency"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/failure"
 	"jayspindle/internal/state/flow"
@@ -82,6 +84,9 @@
 	outbound *net.UDPConn
 	inner    *frag.Conn
 	follower *follower.Follower
+	answers  *latency.Histogram // time to the first packet of an answer
+
+	malformed atomic.Uint64 // datagrams that are no packets
 
 	mutex    sync.Mutex // guards everything below
 	gate     *gate.Gate
@@ -91,14 +96,14 @@
 
 // New opens the sockets.
 func New(settings Settings, codec flow.Codec, logger *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{settings: settings, codec: codec, logger: logger}
+	s := &Sidecar{settings: settings, codec: codec, logger: logger, answers: latency.New()}
 	if err := s.listen(); err != nil {
 		return nil, errors.Join(newError("listen", KindListen, err), s.close())
 	}
 
 	s.gate = gate.New(gate.Config{
 		Service: settings.Service, Boot: time.Now(), ReportInterval: settings.ReportInterval,
-	}, func(time.Duration) {})
+	}, s.answers.Observe)
 	s.follower = follower.New(follower.Config{
 		Conn: s.inner, Boot: rand.Uint64(), Seeds: settings.Seeds, Events: events{s}, Announce: s.announce, Logger: logger,
 	})
@@ -226,6 +231,29 @@
 	s.logger.Info("reset the flows of a backend server that has ended", "flows", len(orphans))
 }
 
+// Metrics is what an agent counts.
+type Metrics struct {
+	Decisions gate.Counters   `json:"decisions"`
+	Flows     int             `json:"flows"`   // open flows
+	Waiting   int             `json:"waiting"` // flows that wait for an answer
+	Version   uint64          `json:"version"` // of the document in force
+	Answers   latency.Summary `json:"answers"` // time to the first packet of an answer
+	Malformed uint64          `json:"malformed"`
+}
+
+// Metrics returns the counts since the start.
+func (s *Sidecar) Metrics() Metrics {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	load := s.gate.Load()
+
+	return Metrics{
+		Decisions: s.gate.Counters(), Flows: int(load.Flows), Waiting: int(load.Waiting), Version: s.gate.Version(),
+		Answers: s.answers.Summary(), Malformed: s.malformed.Load() + s.inner.Dropped(),
+	}
+}
+
 // Run passes packets until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	running, stop := context.WithCancelCause(ctx)
@@ -281,6 +309,7 @@
 
 		header, err := s.codec.Decode(buffer[:count])
 		if err != nil {
+			s.malformed.Add(1)
 			s.logger.Debug("dropped a packet", "from", from, "error", err)
 
 			continue
