--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	bash scripts/unit.sh
 
 soak:
-	SOAK_SEED=$(SEED) SOAK_DURATION=$(DURATION) go test -count=1 -timeout 0 -run '$(RUN)' ./internal/...
+	SOAK_SEED=$(SEED) SOAK_DURATION=$(DURATION) go test -count=1 -timeout 0 -run '$(RUN)' ./internal/... ./platform/...
 
 bench: build
 	bin/jayspindle bench -seeds $(SEEDS) -out $(OUT)
