--- a/internal/testing/fleet/fleet.go
+++ b/internal/testing/fleet/fleet.go
@@ -63,10 +63,13 @@
 }
 
 // Build builds the program into the directory and returns its path.
-func Build(directory string) (string, error) {
-	binary := filepath.Join(directory, "jayspindle")
+func Build(directory string) (string, error) { return BuildPackage(directory, "jayspindle") }
 
-	output, err := exec.Command("go", "build", "-o", binary, "jayspindle").CombinedOutput()
+// BuildPackage builds another program of the module.
+func BuildPackage(directory, name string) (string, error) {
+	binary := filepath.Join(directory, filepath.Base(name))
+
+	output, err := exec.Command("go", "build", "-o", binary, name).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("go build: %w: %s", err, output)
 	}
--- a/internal/testing/fleet/process.go
+++ b/internal/testing/fleet/process.go
@@ -39,10 +39,23 @@
 	return work
 })
 
+// Start runs the binary of the fleet in its directory, with further variables
+// in its environment ("NAME=value").
+func (f *Fleet) Start(name string, environment []string, arguments ...string) {
+	f.t.Helper()
+	f.startWith(name, environment, arguments...)
+}
+
 // start runs a subcommand in the directory of the fleet.
 func (f *Fleet) start(name string, arguments ...string) *process {
 	f.t.Helper()
 
+	return f.startWith(name, nil, arguments...)
+}
+
+func (f *Fleet) startWith(name string, environment []string, arguments ...string) *process {
+	f.t.Helper()
+
 	p := &process{
 		name: name,
 		log:  f.path(fmt.Sprintf("%s.%d.log", name, len(f.all))),
@@ -54,8 +67,15 @@
 
 	p.command = exec.Command(f.binary, arguments...)
 	p.command.Dir = f.directory
+	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout = &p.output
 	p.command.Stderr = log
+
+	// A program that is started with its own environment logs to its standard
+	// output.
+	if environment != nil {
+		p.command.Stdout = log
+	}
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 
 	started := make(chan error)
@@ -90,6 +110,12 @@
 	<-p.done
 }
 
+// PID returns the process ID of an instance.
+func (f *Fleet) PID(name string) int { return f.processes[name].command.Process.Pid }
+
+// Directory returns the directory of the fleet, which ends with the test.
+func (f *Fleet) Directory() string { return f.directory }
+
 // Signal sends a signal to an instance.
 func (f *Fleet) Signal(name string, signal syscall.Signal) { f.processes[name].signal(signal) }
 
