Prefer agents of the own availability zone within the accepted imbalance

Ruled out: the own zone always first, which would overload it when clients are uneven. Change: an agent of another zone counts as busier by 15%.

--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -158,6 +158,10 @@
 		load *= 1 + coldPenalty
 	}
 
+	if a.Zone != r.config.Zone {
+		load *= 1 + farPenalty
+	}
+
 	return load
 }
 
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -45,6 +45,34 @@
 	}
 }
 
+// TestOpenNear guards against flows that cross availability zones although the
+// own zone has room, and against an own zone that is overloaded instead.
+func TestOpenNear(t *testing.T) {
+	w := newWorld(t, 6)
+
+	records := agents(6, roster.Ready)
+	for i := range records {
+		records[i].Zone = []string{"", "other"}[i%2]
+	}
+
+	w.router.Apply(records, true)
+
+	counts := map[flow.Endpoint]int{}
+	near := 0
+
+	for number := range 360 {
+		agent := w.open(client(number))
+		counts[agent]++
+
+		if agent.IP[3]%2 == 1 {
+			near++
+		}
+	}
+
+	w.is.True(near > 185)
+	assertBalanced(t, counts, 6)
+}
+
 // TestOpenAfterRelease guards against a replaced backend server that stays idle
 // while the others keep all open flows: the next flows go there first.
 func TestOpenAfterRelease(t *testing.T) {
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -126,6 +126,11 @@
 	// by this share of its flows.
 	coldPenalty = 0.3
 
+	// farPenalty makes an agent of another availability zone count as busier by
+	// this share: traffic between zones costs money and time. It is below the
+	// imbalance of 1.25 that the deployments accept.
+	farPenalty = 0.15
+
 	// waitingWeight is how many open flows one flow that waits for an answer
 	// counts for. Open flows are mostly idle.
 	waitingWeight = 4
