Share one socket between the programs of pass-through services

Cause: three programs had the same receiving loop, and routing the same hash as package flow (duplicates). Ruled out: package udp, whose batches need more memory and pay off at higher rates. Change: package socket; flow.Mix serves routing; messages that the owner of a registry drops are counted; reasons that nothing used are gone.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -294,7 +294,7 @@
 // FromBackend decides about a packet that the backend server sent.
 func (g *Gate) FromBackend(now time.Time, header flow.Header) Decision {
 	if header.Returned {
-		return g.returned(now, header)
+		return g.returned(header)
 	}
 
 	key := header.ReplyKey()
@@ -339,7 +339,7 @@
 }
 
 // returned decides about a packet that the backend server does not want.
-func (g *Gate) returned(_ time.Time, header flow.Header) Decision {
+func (g *Gate) returned(header flow.Header) Decision {
 	key := header.Key()
 
 	h := g.flows[key]
--- a/internal/coordination/routing/rendezvous.go
+++ b/internal/coordination/routing/rendezvous.go
@@ -1,6 +1,10 @@
 package routing
 
-import "math"
+import (
+	"math"
+
+	"jayspindle/internal/state/flow"
+)
 
 // headroom is the share of buckets that a member may own, relative to the
 // share of its weight. Without a limit, 20 agents on 1,024 buckets had an
@@ -40,16 +44,7 @@
 }
 
 // hash returns the hash of a member and a bucket.
-func (m *member) hash(bucket uint64) uint64 { return mix(m.seed ^ bucket) }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-
-	return x ^ x>>31
-}
+func (m *member) hash(bucket uint64) uint64 { return flow.Mix(m.seed ^ bucket) }
 
 // assign returns the owner of each bucket: the member with the best score that
 // has not reached its limit (consistent hashing with bounded loads; Mirrokni,
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -16,6 +16,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/view"
 )
 
@@ -149,7 +150,7 @@
 	for i := range agents {
 		if weight := weightOf(&agents[i]); weight > 0 {
 			incarnation := agents[i].Incarnation
-			members = append(members, member{incarnation, weight, mix(uint64(incarnation))})
+			members = append(members, member{incarnation, weight, flow.Mix(uint64(incarnation))})
 		}
 	}
 
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -151,15 +151,13 @@
 
 // The reasons.
 const (
-	ReasonNone      Reason = ""
-	ReasonNoRoute   Reason = "no route"
-	ReasonNoAgent   Reason = "no agent can take the flow"
-	ReasonRefused   Reason = "the agent refused the flow"
-	ReasonNoAnswer  Reason = "the agent did not answer"
-	ReasonNotHeld   Reason = "no agent holds the flow"
-	ReasonNotFound  Reason = "some agents did not say whether they hold the flow"
-	ReasonOverload  Reason = "too many flows wait for a decision"
-	ReasonUnchecked Reason = "the view is too old to refuse the flow"
+	ReasonNone     Reason = ""
+	ReasonNoRoute  Reason = "no route"
+	ReasonNoAgent  Reason = "no agent can take the flow"
+	ReasonRefused  Reason = "the agent refused the flow"
+	ReasonNoAnswer Reason = "the agent did not answer"
+	ReasonNotHeld  Reason = "no agent holds the flow"
+	ReasonOverload Reason = "too many flows wait for a decision"
 )
 
 // Action is what the owner of a Router has to do.
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -16,7 +16,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -32,15 +31,10 @@
 	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
 	"jayspindle/internal/transport/frag"
+	"jayspindle/internal/transport/socket"
 )
 
 const (
-	// maxPacket is above the largest packet of the deployments.
-	maxPacket = 2048
-
-	// receiveBuffer holds 50 ms of packets at 100 Mbit/s.
-	receiveBuffer = 1 << 20
-
 	// idleTick bounds the wait for the next decision that depends on time.
 	idleTick = time.Second
 )
@@ -79,7 +73,7 @@
 	settings Settings
 	codec    flow.Codec
 	logger   *slog.Logger
-	data     *net.UDPConn
+	data     *socket.Socket
 	inner    *frag.Conn
 	follower *follower.Follower
 	opened   *latency.Histogram // time until a new flow was accepted
@@ -95,15 +89,11 @@
 
 // New opens the sockets.
 func New(settings Settings, codec flow.Codec, logger *slog.Logger) (*Forwarder, error) {
-	data, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.Data))
+	data, err := socket.Listen(settings.Data, logger)
 	if err != nil {
 		return nil, newError("listen", KindListen, err)
 	}
 
-	if err := data.SetReadBuffer(receiveBuffer); err != nil {
-		logger.Warn("the receive buffer keeps its default size", "error", err)
-	}
-
 	inner, err := frag.Listen(settings.Inner, logger)
 	if err != nil {
 		return nil, errors.Join(newError("listen", KindListen, err), data.Close())
@@ -161,7 +151,7 @@
 	running, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	parts := group.New(stop)
 
-	parts.Go(func() { f.serveData(running, stop) })
+	parts.Go(func() { f.data.Serve(f.packet) })
 	parts.Go(func() { f.inner.Serve(f.handle) })
 	parts.Go(func() { f.follower.Run(running) })
 	parts.Go(func() { f.tick(running) })
@@ -191,30 +181,8 @@
 	return closing
 }
 
-// serveData handles the packets of clients.
-func (f *Forwarder) serveData(ctx context.Context, fail context.CancelCauseFunc) {
-	buffer := make([]byte, maxPacket)
-
-	for {
-		count, _, err := f.data.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-
-		if errors.Is(err, net.ErrClosed) {
-			fail(newError("receive", KindListen, err))
-
-			return
-		}
-
-		// Other errors belong to earlier packets that could not be delivered.
-		if err == nil {
-			f.packet(buffer[:count])
-		}
-	}
-}
-
-func (f *Forwarder) packet(packet []byte) {
+// packet handles a packet of a client.
+func (f *Forwarder) packet(_ netip.AddrPort, packet []byte) {
 	header, err := f.codec.Decode(packet)
 	if err != nil {
 		f.malformed.Add(1)
@@ -314,11 +282,11 @@
 
 	switch action.Kind {
 	case steering.Forward:
-		_, err = f.data.WriteToUDPAddrPort(action.Packet, action.To.AddrPort())
+		err = f.data.Send(action.Packet, action.To.AddrPort())
 	case steering.Reset:
 		f.buffer = f.codec.AppendReset(f.buffer[:0], action.Key, action.Sequence)
 		client := netip.AddrPortFrom(action.Key.Client.Addr(), f.settings.ClientPort)
-		_, err = f.data.WriteToUDPAddrPort(f.buffer, client)
+		err = f.data.Send(f.buffer, client)
 	case steering.Locate:
 		f.buffer = wire.Locate{ID: action.Question.ID, Keys: action.Question.Keys}.Append(f.buffer[:0])
 		agent := netip.AddrPortFrom(action.To.Addr(), f.settings.Inner.Port())
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -109,6 +109,7 @@
 	events    chan event
 	published atomic.Pointer[published]
 	accepts   *latency.Histogram // time until a document was accepted
+	overflow  atomic.Uint64      // messages dropped because the owner was too slow
 
 	mutex    sync.Mutex // guards the list of agents and the pollers
 	list     *roster.List
@@ -201,6 +202,7 @@
 	Led         bool            `json:"led"`         // a leader is known
 	Accepted    latency.Summary `json:"accepted"`    // time until a document was accepted
 	Malformed   uint64          `json:"malformed"`
+	Overflow    uint64          `json:"overflow"` // messages dropped while the disk was slow
 }
 
 // Metrics returns the counts since the start.
@@ -210,6 +212,7 @@
 	return Metrics{
 		Version: current.version, Agents: r.Agents(), Controllers: len(current.controllers), Led: current.led,
 		Accepted: r.accepts.Summary(), Malformed: r.inner.Dropped(),
+		Overflow: r.overflow.Load(),
 	}
 }
 
@@ -262,5 +265,6 @@
 	select {
 	case r.events <- func(o *owner, now time.Time) { o.receive(now, from, kind, body) }:
 	default:
+		r.overflow.Add(1)
 	}
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -17,7 +17,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -33,15 +32,10 @@
 	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
 	"jayspindle/internal/transport/frag"
+	"jayspindle/internal/transport/socket"
 )
 
 const (
-	// maxPacket is above the largest packet of the deployments.
-	maxPacket = 2048
-
-	// receiveBuffer holds 50 ms of packets at 100 Mbit/s.
-	receiveBuffer = 1 << 20
-
 	// sweepInterval is a fraction of the time between two reports of a backend
 	// server.
 	sweepInterval = 250 * time.Millisecond
@@ -80,8 +74,8 @@
 	settings Settings
 	codec    flow.Codec
 	logger   *slog.Logger
-	data     *net.UDPConn
-	outbound *net.UDPConn
+	data     *socket.Socket
+	outbound *socket.Socket
 	inner    *frag.Conn
 	follower *follower.Follower
 	answers  *latency.Histogram // time to the first packet of an answer
@@ -191,8 +185,8 @@
 	running, stop := context.WithCancelCause(ctx)
 	parts := group.New(stop)
 
-	parts.Go(func() { s.serve(running, stop, s.data, s.fromForwarder) })
-	parts.Go(func() { s.serve(running, stop, s.outbound, s.fromBackend) })
+	parts.Go(func() { s.data.Serve(s.packets(s.fromForwarder)) })
+	parts.Go(func() { s.outbound.Serve(s.packets(s.fromBackend)) })
 	parts.Go(func() { s.inner.Serve(s.handle) })
 	parts.Go(func() { s.follower.Run(running) })
 	parts.Go(func() { s.sweep(running) })
@@ -215,41 +209,23 @@
 	return closing
 }
 
-// serve handles the packets of one socket.
-func (s *Sidecar) serve(
-	ctx context.Context, fail context.CancelCauseFunc, conn *net.UDPConn,
+// packets returns a handler of datagrams that passes on the packets among them.
+func (s *Sidecar) packets(
 	handle func(from netip.AddrPort, header flow.Header, packet []byte),
-) {
-	buffer := make([]byte, maxPacket)
-
-	for {
-		count, from, err := conn.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-
-		if errors.Is(err, net.ErrClosed) {
-			fail(newError("receive", KindListen, err))
-
-			return
-		}
-
-		// Other errors belong to earlier packets that could not be delivered.
-		if err != nil {
-			continue
-		}
-
-		header, err := s.codec.Decode(buffer[:count])
+) func(from netip.AddrPort, datagram []byte) {
+	return func(from netip.AddrPort, datagram []byte) {
+		header, err := s.codec.Decode(datagram)
 		if err != nil {
 			s.malformed.Add(1)
 			s.logger.Debug("dropped a packet", "from", from, "error", err)
 
-			continue
+			return
 		}
 
 		s.mutex.Lock()
-		handle(from, header, buffer[:count])
-		s.mutex.Unlock()
+		defer s.mutex.Unlock()
+
+		handle(from, header, datagram)
 	}
 }
 
@@ -282,7 +258,7 @@
 
 	switch decision.Kind {
 	case gate.Deliver:
-		_, err = s.outbound.WriteToUDPAddrPort(packet, s.settings.Backend)
+		err = s.outbound.Send(packet, s.settings.Backend)
 	case gate.ToClient:
 		err = s.toClient(key, packet)
 	case gate.Return:
@@ -312,9 +288,7 @@
 }
 
 func (s *Sidecar) toClient(key flow.Key, packet []byte) error {
-	_, err := s.data.WriteToUDPAddrPort(packet, netip.AddrPortFrom(key.Client.Addr(), s.settings.ClientPort))
-
-	return err
+	return s.data.Send(packet, netip.AddrPortFrom(key.Client.Addr(), s.settings.ClientPort))
 }
 
 // notify sends a message to an entry instance.
--- a/internal/program/sidecar/sockets.go
+++ b/internal/program/sidecar/sockets.go
@@ -2,20 +2,18 @@
 
 import (
 	"errors"
-	"log/slog"
-	"net"
-	"net/netip"
 
 	"jayspindle/internal/transport/frag"
+	"jayspindle/internal/transport/socket"
 )
 
 func (s *Sidecar) listen() error {
 	var err error
-	if s.data, err = listenUDP(s.settings.Data, s.logger); err != nil {
+	if s.data, err = socket.Listen(s.settings.Data, s.logger); err != nil {
 		return err
 	}
 
-	if s.outbound, err = listenUDP(s.settings.Outbound, s.logger); err != nil {
+	if s.outbound, err = socket.Listen(s.settings.Outbound, s.logger); err != nil {
 		return err
 	}
 
@@ -24,19 +22,6 @@
 	return err
 }
 
-func listenUDP(address netip.AddrPort, logger *slog.Logger) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, err
-	}
-
-	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
-		logger.Warn("the receive buffer keeps its default size", "error", err)
-	}
-
-	return conn, nil
-}
-
 func (s *Sidecar) close() error {
 	var err error
 	if s.data != nil {
--- a/internal/transport/frag/frag.go
+++ b/internal/transport/frag/frag.go
@@ -15,16 +15,15 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"jayspindle/internal/state/failure"
+	"jayspindle/internal/transport/socket"
 )
 
 const (
@@ -45,18 +44,12 @@
 	// belong to a message that its sender has given up.
 	partialLifetime = 2 * time.Second
 
-	maxDatagram = 64 << 10
-
 	// The first byte of a datagram.
 	whole    = 0
 	fragment = 1
 
 	// kind, message ID, fragment number, number of fragments.
 	fragmentHeader = 1 + 4 + 2 + 2
-
-	// receiveBuffer holds a document of a few hundred kilobytes that arrives in
-	// one burst.
-	receiveBuffer = 1 << 20
 )
 
 // Kind classifies an Error.
@@ -81,8 +74,7 @@
 
 // Conn sends and receives messages. Send is safe for concurrent use.
 type Conn struct {
-	udp     *net.UDPConn
-	logger  *slog.Logger
+	socket  *socket.Socket
 	nextID  atomic.Uint32
 	dropped atomic.Uint64
 	buffers sync.Pool
@@ -107,51 +99,33 @@
 
 // Listen opens a UDP address.
 func Listen(address netip.AddrPort, logger *slog.Logger) (*Conn, error) {
-	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	opened, err := socket.Listen(address, logger)
 	if err != nil {
 		return nil, newError("listen", KindListen, err)
 	}
 
-	if err := udp.SetReadBuffer(receiveBuffer); err != nil {
-		logger.Warn("the receive buffer keeps its default size", "error", err)
-	}
-
 	return &Conn{
-		udp: udp, logger: logger, partial: make(map[partialKey]*partial),
+		socket: opened, partial: make(map[partialKey]*partial),
 		buffers: sync.Pool{New: func() any { return new(buffer) }},
 	}, nil
 }
 
 // Address returns the local address.
-func (c *Conn) Address() netip.AddrPort {
-	return c.udp.LocalAddr().(*net.UDPAddr).AddrPort() //nolint:forcetypeassert // a UDP socket has a UDP address
-}
+func (c *Conn) Address() netip.AddrPort { return c.socket.Address() }
 
 // Dropped returns the number of datagrams that were no part of a message.
 func (c *Conn) Dropped() uint64 { return c.dropped.Load() }
 
 // Close ends Serve.
-func (c *Conn) Close() error { return c.udp.Close() }
+func (c *Conn) Close() error { return c.socket.Close() }
 
 // Serve calls the handler with every message until the connection is closed.
 func (c *Conn) Serve(handle Handler) {
-	buffer := make([]byte, maxDatagram)
-
-	for {
-		count, from, err := c.udp.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-
-		// An error belongs to an earlier datagram that could not be delivered.
-		if err != nil {
-			continue
-		}
-
-		if message := c.receive(from, buffer[:count]); message != nil {
+	c.socket.Serve(func(from netip.AddrPort, datagram []byte) {
+		if message := c.receive(from, datagram); message != nil {
 			handle(from, message)
 		}
-	}
+	})
 }
 
 // receive returns the message that a datagram completes, or nil.
@@ -269,7 +243,7 @@
 }
 
 func (c *Conn) write(to netip.AddrPort, datagram []byte) error {
-	if _, err := c.udp.WriteToUDPAddrPort(datagram, to); err != nil {
+	if err := c.socket.Send(datagram, to); err != nil {
 		return newError("send", KindSend, err)
 	}
 
