Keep the flows that an agent has seen before the first report

Ruled out: searches (no line of them) and the packet loss injected at the same time. Change: the first report adopts these flows.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -89,6 +89,14 @@
 
 	before := *b
 
+	// Flows that were seen before the first report belong to the backend server
+	// that now makes itself known.
+	if b.born == 0 {
+		for _, h := range g.flows {
+			h.born = report.Born
+		}
+	}
+
 	if b.state == unheard || report.Born > b.born {
 		b.watched = b.state != unheard || g.sawStart(now, report)
 	}
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -235,6 +235,20 @@
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
 }
 
+// TestRestartBeforeReport guards against the reset of flows that an agent has
+// seen again after its restart, before the first report of the backend server
+// (soak seed 2009).
+func TestRestartBeforeReport(t *testing.T) {
+	b := newBench(t)
+	b.fromClient(request, gate.Deliver)
+	b.fromBackend(answer, gate.ToClient)
+
+	b.is.Equal(b.report(report(start.Add(-time.Minute), 70)), gate.Changed)
+	b.is.Equal(len(b.gate.Orphans()), 0)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+	b.fromClient(request, gate.Deliver)
+}
+
 // TestRestartNotHeld guards against a flow that stays with an agent whose
 // backend server does not hold it, and against its reset while another one may.
 func TestRestartNotHeld(t *testing.T) {
--- a/internal/coordination/steering/fixture_test.go
+++ b/internal/coordination/steering/fixture_test.go
@@ -65,7 +65,7 @@
 	router := steering.New(steering.Config{Boot: start})
 	w := &world{T: t, is: is.New(t), now: start, router: router, flows: map[flow.Endpoint]uint16{}}
 	w.router.Follow(table(t, 1, toService("desk")))
-	w.router.Apply(agents(count, roster.Ready), true)
+	w.router.Apply(w.now, agents(count, roster.Ready), true)
 	w.router.Confirm(start)
 
 	return w
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -55,7 +55,7 @@
 		records[i].Zone = []string{"", "other"}[i%2]
 	}
 
-	w.router.Apply(records, true)
+	w.router.Apply(w.now, records, true)
 
 	counts := map[flow.Endpoint]int{}
 	near := 0
@@ -80,7 +80,7 @@
 
 	records := agents(3, roster.Ready)
 	records[0].Flows, records[1].Flows = 30, 30
-	w.router.Apply(records, true)
+	w.router.Apply(w.now, records, true)
 
 	for number := range 25 {
 		w.is.Equal(w.router.Packet(w.now, opening(client(number)), []byte("open"))[0].To, address(3))
@@ -208,7 +208,7 @@
 		}
 	}
 
-	w.router.Apply(records, false)
+	w.router.Apply(w.now, records, false)
 
 	for number := range 10 {
 		w.is.True(w.open(client(2+number)) != holder)
@@ -263,9 +263,9 @@
 	is.True(!router.Serving())
 
 	router.Follow(table(t, 1, toService("desk")))
-	router.Apply(agents(2, roster.Starting), true)
+	router.Apply(start, agents(2, roster.Starting), true)
 	is.True(!router.Serving())
 
-	router.Apply(agents(1, roster.Ready), false)
+	router.Apply(start, agents(1, roster.Ready), false)
 	is.True(router.Serving())
 }
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -284,6 +284,14 @@
 	r.swept = now
 	r.questions.expire(now)
 
+	for address, a := range r.agents {
+		if !a.missing.IsZero() && now.Sub(a.missing) > roster.GoneAfter {
+			delete(r.agents, address)
+		}
+	}
+
+	r.indexServices()
+
 	for key, e := range r.flows {
 		if now.Sub(e.last) > retention {
 			r.forget(key)
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -68,7 +68,7 @@
 		w.answer(address(1), flow.Absent)
 
 		lost := agents(2, roster.Silent)[1:]
-		w.router.Apply(lost, false)
+		w.router.Apply(w.now, lost, false)
 
 		due, _ := w.router.Due()
 		w.one(w.router.Tick(due), steering.Reset)
@@ -137,7 +137,7 @@
 	w := newWorld(t, 0)
 	w.router = steering.New(steering.Config{Boot: start, Link: link})
 	w.router.Follow(table(t, 1, toService("desk")))
-	w.router.Apply(agents(65, roster.Ready), true)
+	w.router.Apply(w.now, agents(65, roster.Ready), true)
 	w.router.Confirm(start)
 
 	const seconds, perSecond = 10, 1000
@@ -171,7 +171,35 @@
 	holder := w.open(key)
 
 	gone := roster.Record{Address: holder, State: roster.Gone}
-	w.router.Apply([]roster.Record{gone}, false)
+	w.router.Apply(w.now, []roster.Record{gone}, false)
+	w.is.Equal(len(w.asked(key, w.router.Packet(w.now, request(key, 1), []byte("one")))), 2)
+}
+
+// TestMissingAgent guards against the reset of open flows when the list comes
+// from a controller that has just started and has not heard their agent.
+func TestMissingAgent(t *testing.T) {
+	w := newWorld(t, 3)
+	key := client(1)
+	holder := w.open(key)
+
+	var others []roster.Record
+
+	for _, record := range agents(3, roster.Ready) {
+		if record.Address != holder {
+			others = append(others, record)
+		}
+	}
+
+	w.router.Apply(w.now, others, true)
+	w.is.Equal(w.one(w.router.Packet(w.now, request(key, 1), []byte("one")), steering.Forward).To, holder)
+
+	for number := range 10 {
+		w.is.True(w.open(client(2+number)) != holder)
+	}
+
+	// An agent that stays away is gone.
+	w.now = w.now.Add(roster.GoneAfter + time.Second)
+	w.router.Tick(w.now)
 	w.is.Equal(len(w.asked(key, w.router.Packet(w.now, request(key, 1), []byte("one")))), 2)
 }
 
@@ -206,7 +234,7 @@
 				w.router.Located(w.now, agent, random.Uint32N(500), answers)
 				w.router.Found(w.now, agent, client(random.IntN(400)))
 			case 7:
-				w.router.Apply(agents(1+random.IntN(12), roster.State(1+random.IntN(5))), random.IntN(3) == 0)
+				w.router.Apply(w.now, agents(1+random.IntN(12), roster.State(1+random.IntN(5))), random.IntN(3) == 0)
 				w.router.Confirm(w.now)
 			default:
 				w.router.Tick(w.now)
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -180,8 +180,9 @@
 type agent struct {
 	roster.Record
 	seed    uint64
-	since   int // flows sent there since its last report
-	suspect time.Time
+	since   int       // flows sent there since its last report
+	suspect time.Time // until when it is passed over for new flows
+	missing time.Time // since when the list lacks it; zero if it does not
 }
 
 // Config holds what is fixed for a Router.
@@ -250,8 +251,9 @@
 func (r *Router) Flows() int { return len(r.flows) }
 
 // Apply applies records of the list of agents. With whole set they replace the
-// list; otherwise they are changes.
-func (r *Router) Apply(records []roster.Record, whole bool) {
+// list; otherwise they are changes. An agent that a whole list lacks is kept for
+// a while without new flows: the controller may not have heard it yet.
+func (r *Router) Apply(now time.Time, records []roster.Record, whole bool) {
 	named := make(map[flow.Endpoint]bool, len(records))
 
 	for _, record := range records {
@@ -260,13 +262,17 @@
 	}
 
 	if whole {
-		for address := range r.agents {
-			if !named[address] {
-				delete(r.agents, address)
+		for address, a := range r.agents {
+			if !named[address] && a.missing.IsZero() {
+				a.missing, a.State = now, roster.Starting
 			}
 		}
 	}
 
+	r.indexServices()
+}
+
+func (r *Router) indexServices() {
 	r.services = make(map[string][]*agent, len(r.services))
 	for _, a := range r.agents {
 		r.services[a.Service] = append(r.services[a.Service], a)
@@ -294,7 +300,7 @@
 	}
 
 	known.Record = record
-	known.since = 0
+	known.since, known.missing = 0, time.Time{}
 }
 
 // Confirm tells that a controller has just confirmed that document and agents
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -343,11 +343,11 @@
 	e.router.Follow(table)
 }
 
-func (e events) Agents(_ time.Time, records []roster.Record, whole bool) {
+func (e events) Agents(now time.Time, records []roster.Record, whole bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 
-	e.router.Apply(records, whole)
+	e.router.Apply(now, records, whole)
 }
 
 func (e events) Confirmed(now time.Time) {
