--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -24,11 +24,11 @@
 //
 // The table of flows is only a cache, because a flow may move to another entry
 // instance at any time. A packet of an unknown flow is kept while the agents
-// that can hold the flow are asked: the likely ones first, then all others. Agents know the flows of their
-// backend servers; one that has restarted since may be unsure and gets the
-// packet only if no other holds the flow. The flow is reset only if every agent
-// has denied it. Searches have a budget, because after the loss of all instances
-// every client asks for a flow that nobody holds.
+// that can hold the flow are asked: the likely ones first, then all others.
+// Agents know the flows of their backend servers; one that has restarted since
+// may be unsure and gets the packet only if no other holds the flow. The flow is
+// reset only if every agent has denied it. Searches have a budget, because after
+// the loss of all instances every client asks for a flow that nobody holds.
 package steering
 
 import (
