Remove accessors that nothing calls and copies of slices.Contains

Cause: a last read of the change found four accessors and three settings without a caller, two branches of steering with the same body, and three loops that the library has. Ruled out: further merging of forwarder and sidecar; their runs and sockets differ where it matters. Change: the dead code is gone; slices.Contains and ContainsFunc replace the loops; the twin branches are one. Before and after: no behaviour changed; the tests of the packages pass with the same assertions.

--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -239,11 +239,9 @@
 	now time.Time, target *route.Route, key flow.Key, e *entry, from flow.Endpoint, packet []byte,
 ) {
 	switch {
-	case e == nil:
-		e = r.undecide(now, key, packet, from)
-	case e.state == settled && e.agent == from:
-		// A repetition of the first packet, at a backend server that has lost or
-		// ended the flow since.
+	case e == nil, e.state == settled && e.agent == from:
+		// A settled flow: the client has repeated its first packet, at a backend
+		// server that has lost or ended the flow since.
 		e = r.undecide(now, key, packet, from)
 	case e.state == opening && e.agent == from:
 		e.offers-- // an answer, if not the desired one
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -20,6 +20,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,22 +102,6 @@
 	return &Follower{config: config, kick: make(chan struct{}, 1), controllers: config.Seeds()}
 }
 
-// Version returns the version of the newest document.
-func (f *Follower) Version() uint64 {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-
-	return f.version
-}
-
-// Controllers returns the controllers that the follower knows.
-func (f *Follower) Controllers() []flow.Endpoint {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-
-	return f.controllers
-}
-
 // Poll polls all controllers soon.
 func (f *Follower) Poll() {
 	select {
@@ -210,22 +195,12 @@
 // reseed adds the seeds of the present settings to the known controllers.
 func (f *Follower) reseed() {
 	for _, seed := range f.config.Seeds() {
-		if !contains(f.controllers, seed) {
+		if !slices.Contains(f.controllers, seed) {
 			f.controllers = append(f.controllers, seed)
 		}
 	}
 }
 
-func contains(endpoints []flow.Endpoint, wanted flow.Endpoint) bool {
-	for _, endpoint := range endpoints {
-		if endpoint == wanted {
-			return true
-		}
-	}
-
-	return false
-}
-
 // Handle handles a message from a controller. It returns false for messages
 // that are not for the follower.
 func (f *Follower) Handle(from netip.AddrPort, kind wire.Kind, body []byte) bool {
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -54,7 +54,6 @@
 
 // Settings configures an entry instance.
 type Settings struct {
-	Name       string
 	Zone       string
 	Data       netip.AddrPort // receives the packets of clients
 	Inner      netip.AddrPort // messages of the other processes
--- a/internal/program/registry/members.go
+++ b/internal/program/registry/members.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"jayspindle/internal/coordination/raft"
@@ -252,13 +253,8 @@
 
 	if status.Role == raft.Leader {
 		id := wal.ReplicaID(enter.Replica)
-		known := false
 
-		for _, member := range status.Members {
-			known = known || member.ID == id
-		}
-
-		if !known {
+		if !slices.ContainsFunc(status.Members, func(m raft.MemberStatus) bool { return m.ID == id }) {
 			if _, _, err := o.node.ChangeMembership(raft.Change{
 				Kind: raft.ChangeAddLearner, Member: raft.Member{ID: id, Address: from.String()},
 			}); err != nil {
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -84,7 +84,6 @@
 
 // Settings configures a controller.
 type Settings struct {
-	Name      string
 	Inner     netip.AddrPort // messages of the other processes
 	Directory string         // data directory, created if it does not exist
 	Seeds     func() []flow.Endpoint
--- a/internal/program/registry/registry_test.go
+++ b/internal/program/registry/registry_test.go
@@ -81,7 +81,7 @@
 	c.Helper()
 
 	built, err := registry.New(registry.Settings{
-		Name: fmt.Sprint(number), Inner: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
+		Inner: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
 		Seeds: func() []flow.Endpoint { return c.seeds }, First: first, Losses: 2,
 	}, interpret, slog.New(slog.DiscardHandler))
 	c.is.NoErr(err)
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -7,7 +7,6 @@
 
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/flow"
-	"jayspindle/internal/state/roster"
 )
 
 const (
@@ -227,15 +226,5 @@
 	return r.list.Len()
 }
 
-// List returns the records of all agents.
-func (r *Registry) List() []roster.Record {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-
-	records, _ := r.list.Since(0)
-
-	return records
-}
-
 // Controllers returns the members of the group.
 func (r *Registry) Controllers() []flow.Endpoint { return r.published.Load().controllers }
--- a/internal/program/registry/storage.go
+++ b/internal/program/registry/storage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"jayspindle/internal/coordination/raft"
@@ -65,17 +66,7 @@
 
 // founds reports whether the replica is a first member of the group.
 func (o *owner) founds() bool {
-	if !o.settings.First {
-		return false
-	}
-
-	for _, seed := range o.settings.Seeds() {
-		if seed == o.self {
-			return true
-		}
-	}
-
-	return false
+	return o.settings.First && slices.Contains(o.settings.Seeds(), o.self)
 }
 
 // replicaOf returns the identity of a first member, which all others can work
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -56,7 +56,6 @@
 
 // Settings configures an agent.
 type Settings struct {
-	Name       string
 	Zone       string
 	Service    string
 	Data       netip.AddrPort // receives packets from entry instances
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -224,9 +224,6 @@
 	return t.document.Version
 }
 
-// Idle returns the time after which a flow without packets may be forgotten.
-func (t *Table) Idle() time.Duration { return t.document.Idle }
-
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.routes) }
 
