Remember open flows at controllers across a loss of power

Cause: after the loss of all instances, every idle connection of a client is dead, and nobody can tell the client: agents, entry instances and backend servers have all forgotten the flow. The client learns it from its next request.

Ruled out: the time until documents are in force (35 to 60 ms after the first seed has started); resets by entry instances, which start as early as a complete list allows; flows that agents forget while only they restart.

Change: agents send the flows that last longer than a second to three controllers, as changes since the last acknowledged position. Controllers keep them in a file of their own, apart from the replicated log. An agent that starts recalls them before it sends anything. If its backend server has started anew, it resets the flows at their clients; if not, it holds them again. Followers ask the controllers that unsettled answers name, because the seeds may be the last to start.

--- /dev/null
+++ b/internal/coordination/gate/checkpoint_test.go
@@ -0,0 +1,89 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"jayspindle/internal/coordination/gate"
+	"jayspindle/internal/state/checkpoint"
+	"jayspindle/internal/state/flow"
+)
+
+// remembered is the flow of these tests as a controller remembers it.
+func remembered(born time.Time) checkpoint.Memory {
+	return checkpoint.Memory{Born: born.UnixMilli(), Flows: []checkpoint.Flow{{Key: key, Acknowledged: 5}}}
+}
+
+// TestLasting guards against checkpoints of flows that are over soon, and of
+// flows that have ended.
+func TestLasting(t *testing.T) {
+	b := newBench(t)
+	b.report(report(start, 1))
+	b.open()
+
+	_, flows := b.gate.Lasting(b.now)
+	b.is.Equal(len(flows), 0)
+
+	born, flows := b.gate.Lasting(b.now.Add(time.Second))
+	b.is.Equal(born, start.UnixMilli())
+	b.is.Equal(flows, map[flow.Key]uint32{key: 5})
+
+	b.fromBackend(flow.Header{Acks: true, Close: true}, gate.ToClient)
+
+	_, flows = b.gate.Lasting(b.now.Add(time.Second))
+	b.is.Equal(len(flows), 0)
+}
+
+// TestRecover guards against clients that send their next request on a flow that
+// was lost with its instance, and against the reset of flows that live.
+func TestRecover(t *testing.T) {
+	t.Run("the backend server has started anew", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+
+		orphans, done := b.gate.Recover(b.now, remembered(start.Add(-time.Minute)))
+		b.is.True(done)
+		b.is.Equal(orphans, []gate.Orphan{{Key: key, Sequence: 5}})
+	})
+
+	t.Run("only the agent has started anew", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start.Add(-time.Minute), 70))
+
+		orphans, done := b.gate.Recover(b.now, remembered(start.Add(-time.Minute)))
+		b.is.True(done)
+		b.is.Equal(len(orphans), 0)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+
+		// The flow has ended meanwhile.
+		returned := request
+		returned.Returned = true
+		b.fromClient(request, gate.Deliver)
+		b.fromBackend(returned, gate.Reset)
+	})
+
+	t.Run("the backend server was not heard", func(t *testing.T) {
+		b := newBench(t)
+		_, done := b.gate.Recover(b.now, remembered(start))
+		b.is.True(!done)
+	})
+
+	t.Run("the flow is in use again", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+		b.open()
+
+		orphans, done := b.gate.Recover(b.now, remembered(start.Add(-time.Minute)))
+		b.is.True(done)
+		b.is.Equal(len(orphans), 0)
+	})
+
+	t.Run("the report was a late one", func(t *testing.T) {
+		b := newBench(t)
+		b.report(report(start, 1))
+
+		orphans, done := b.gate.Recover(b.now, remembered(start.Add(time.Minute)))
+		b.is.True(done)
+		b.is.Equal(len(orphans), 0)
+	})
+}
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -117,6 +117,7 @@
 	confirmed bool // the client uses the flow: it is not a second acceptance that nobody wants
 	born      int64
 	forwarder flow.Endpoint
+	since     time.Time
 	last      time.Time
 	acked     uint32    // the last sequence number that the client acknowledged
 	waiting   time.Time // since when the client waits for an answer; zero if it does not
@@ -248,7 +249,7 @@
 }
 
 func (g *Gate) add(now time.Time, key flow.Key, state heldState) *held {
-	h := &held{state: state, born: g.backend.born, last: now}
+	h := &held{state: state, born: g.backend.born, since: now, last: now}
 	g.flows[key] = h
 	g.open++
 
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// Controllers returns the controllers that the instance knows.
+func (f *Follower) Controllers() []flow.Endpoint {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return slices.Clone(f.controllers)
+}
+
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -194,9 +202,14 @@
 
 // reseed adds the seeds of the present settings to the known controllers.
 func (f *Follower) reseed() {
-	for _, seed := range f.config.Seeds() {
-		if !slices.Contains(f.controllers, seed) {
-			f.controllers = append(f.controllers, seed)
+	f.learn(f.config.Seeds())
+}
+
+// learn adds controllers to the known ones.
+func (f *Follower) learn(controllers []flow.Endpoint) {
+	for _, controller := range controllers {
+		if !slices.Contains(f.controllers, controller) {
+			f.controllers = append(f.controllers, controller)
 		}
 	}
 }
@@ -240,6 +253,9 @@
 	f.heard = now
 	if reply.Settled && len(reply.Controllers) > 0 {
 		f.controllers = reply.Controllers
+	} else {
+		// The seeds may be the last to start, so the others are asked as well.
+		f.learn(reply.Controllers)
 	}
 
 	if reply.Version > f.version && now.Sub(f.fetched) > fetchInterval {
--- /dev/null
+++ b/internal/program/registry/keeper_test.go
@@ -0,0 +1,115 @@
+package registry_test
+
+import (
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayspindle/internal/protocol/wire"
+	"jayspindle/internal/state/checkpoint"
+	"jayspindle/internal/state/flow"
+	"jayspindle/internal/transport/frag"
+)
+
+// correspondent sends messages to controllers and keeps the newest answer of
+// each kind.
+type correspondent struct {
+	conn    *frag.Conn
+	mutex   sync.Mutex
+	answers map[wire.Kind][]byte
+}
+
+func newCorrespondent(t *testing.T, address netip.AddrPort) *correspondent {
+	t.Helper()
+
+	conn, err := frag.Listen(address, slog.New(slog.DiscardHandler))
+	is.New(t).NoErr(err)
+
+	c := &correspondent{conn: conn, answers: make(map[wire.Kind][]byte)}
+
+	go conn.Serve(func(_ netip.AddrPort, message []byte) {
+		kind, body, _ := wire.Split(message)
+
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+
+		c.answers[kind] = append([]byte{}, body...)
+	})
+	t.Cleanup(func() { is.New(t).NoErr(conn.Close()) })
+
+	return c
+}
+
+// send sends a message and returns the newest answer of a kind, or nil.
+func (c *correspondent) send(to flow.Endpoint, message []byte, kind wire.Kind) []byte {
+	if c.conn.Send(to.AddrPort(), message) != nil {
+		return nil
+	}
+
+	time.Sleep(50 * time.Millisecond)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	answer := c.answers[kind]
+	delete(c.answers, kind)
+
+	return answer
+}
+
+// TestCheckpoints guards against flows that controllers forget when all of them
+// stop, and against an acknowledgement of flows that the disk does not have.
+func TestCheckpoints(t *testing.T) {
+	c := newControllers(t)
+	c.found(1)
+
+	agent := newCorrespondent(t, c.address(99).AddrPort())
+	batch := checkpoint.Batch{Agent: c.address(99), Born: 5, Epoch: 6, To: 7, Opened: []checkpoint.Flow{
+		{Key: flow.Key{Client: c.address(1), Service: c.address(2)}, Acknowledged: 8},
+	}}
+
+	c.eventually("the checkpoint is acknowledged", func() bool {
+		answer := agent.send(c.address(1), batch.Append([]byte{byte(wire.KindCheckpoint)}), wire.KindCheckpointed)
+		if answer == nil {
+			return false
+		}
+
+		acknowledged, err := wire.Decode[wire.Checkpointed](answer)
+		c.is.NoErr(err)
+
+		return acknowledged == wire.Checkpointed{Epoch: 6, Position: 7}
+	})
+
+	c.kill(1)
+	c.start(1, "1", false)
+
+	recall, err := wire.Encode(wire.KindRecall, wire.Recall{Agent: c.address(99)})
+	c.is.NoErr(err)
+
+	c.eventually("the flows are recalled", func() bool {
+		answer := agent.send(c.address(1), recall, wire.KindRecalled)
+		if answer == nil {
+			return false
+		}
+
+		memory, err := checkpoint.Restore(answer)
+		c.is.NoErr(err)
+		c.is.Equal(memory, checkpoint.Memory{Born: 5, Epoch: 6, Flows: batch.Opened})
+
+		return true
+	})
+
+	t.Run("another agent", func(t *testing.T) {
+		other, err := wire.Encode(wire.KindRecall, wire.Recall{Agent: c.address(98)})
+		c.is.NoErr(err)
+
+		c.eventually("there is an answer", func() bool {
+			answer := agent.send(c.address(1), other, wire.KindRecalled)
+
+			return answer != nil && len(answer) == 0
+		})
+	})
+}
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -26,6 +26,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +110,7 @@
 	published atomic.Pointer[published]
 	accepts   *latency.Histogram // time until a document was accepted
 	overflow  atomic.Uint64      // messages dropped because the owner was too slow
+	keeper    *keeper
 
 	mutex    sync.Mutex // guards the list of agents and the pollers
 	list     *roster.List
@@ -160,6 +162,7 @@
 		list: roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
 	}
 	r.published.Store(&published{})
+	r.keeper = newKeeper(filepath.Join(settings.Directory, flowsDirectory), inner, logger)
 
 	return r, nil
 }
@@ -173,6 +176,7 @@
 	parts.Go(func() { o.run(running) })
 	parts.Go(func() { r.inner.Serve(r.handle) })
 	parts.Go(func() { r.watch(running) })
+	parts.Go(func() { r.keeper.run(running) })
 
 	select {
 	case <-ctx.Done():
@@ -201,7 +205,8 @@
 	Led         bool            `json:"led"`         // a leader is known
 	Accepted    latency.Summary `json:"accepted"`    // time until a document was accepted
 	Malformed   uint64          `json:"malformed"`
-	Overflow    uint64          `json:"overflow"` // messages dropped while the disk was slow
+	Overflow    uint64          `json:"overflow"`   // messages dropped while the disk was slow
+	Remembered  int             `json:"remembered"` // bytes of the checkpoints of agents
 }
 
 // Metrics returns the counts since the start.
@@ -211,7 +216,7 @@
 	return Metrics{
 		Version: current.version, Agents: r.Agents(), Controllers: len(current.controllers), Led: current.led,
 		Accepted: r.accepts.Summary(), Malformed: r.inner.Dropped(),
-		Overflow: r.overflow.Load(),
+		Overflow: r.overflow.Load() + r.keeper.overflow.Load(), Remembered: r.keeper.bytes(),
 	}
 }
 
@@ -250,6 +255,10 @@
 		err = r.fetched(from, body)
 	case wire.KindReplicate, wire.KindEnter, wire.KindEnterReply:
 		r.pass(from, kind, append([]byte(nil), body...))
+	case wire.KindCheckpoint:
+		r.keeper.receive(from, body)
+	case wire.KindRecall:
+		err = r.keeper.recall(from, body)
 	default:
 		err = errors.New("nobody waits for this kind")
 	}
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -90,6 +90,8 @@
 	record := *poll.Agent
 	record.Boot = poll.Boot
 
+	r.keeper.heard(now, record.Address)
+
 	before := r.list.Position()
 	urgent := r.list.Announce(now, record, poll.Sequence)
 
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -77,19 +77,23 @@
 	outbound *socket.Socket
 	inner    *frag.Conn
 	follower *follower.Follower
+	keeper   *keeper
 	answers  *latency.Histogram // time to the first packet of an answer
 
 	malformed atomic.Uint64 // datagrams that are no packets
 
 	mutex    sync.Mutex // guards everything below
 	gate     *gate.Gate
+	told     map[flow.Key]bool // clients that learned that a flow of an earlier start is lost
 	stopping bool
 	buffer   []byte
 }
 
 // New opens the sockets.
 func New(settings Settings, codec flow.Codec, logger *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{settings: settings, codec: codec, logger: logger, answers: latency.New()}
+	s := &Sidecar{
+		settings: settings, codec: codec, logger: logger, answers: latency.New(), told: make(map[flow.Key]bool),
+	}
 	if err := s.listen(); err != nil {
 		return nil, errors.Join(newError("listen", KindListen, err), s.close())
 	}
@@ -100,6 +104,7 @@
 	s.follower = follower.New(follower.Config{
 		Conn: s.inner, Boot: rand.Uint64(), Seeds: settings.Seeds, Events: events{s}, Announce: s.announce, Logger: logger,
 	})
+	s.keeper = newKeeper(s)
 
 	return s, nil
 }
@@ -130,7 +135,7 @@
 	outcome, err := s.gate.Report(time.Now(), report)
 
 	if outcome == gate.Changed {
-		s.resetOrphans()
+		s.reset(s.gate.Orphans())
 	}
 	s.mutex.Unlock()
 
@@ -161,10 +166,9 @@
 	}
 }
 
-// resetOrphans resets the flows whose backend server has ended. The caller holds
-// the mutex.
-func (s *Sidecar) resetOrphans() {
-	orphans := s.gate.Orphans()
+// reset tells clients that the backend server of their flow has ended. The
+// caller holds the mutex.
+func (s *Sidecar) reset(orphans []gate.Orphan) {
 	if len(orphans) == 0 {
 		return
 	}
@@ -189,6 +193,7 @@
 	parts.Go(func() { s.inner.Serve(s.handle) })
 	parts.Go(func() { s.follower.Run(running) })
 	parts.Go(func() { s.sweep(running) })
+	parts.Go(func() { s.keeper.run(running) })
 
 	<-running.Done()
 
@@ -300,7 +305,7 @@
 // handle handles a message from another process.
 func (s *Sidecar) handle(from netip.AddrPort, message []byte) {
 	kind, body, ok := wire.Split(message)
-	if !ok || s.follower.Handle(from, kind, body) {
+	if !ok || s.follower.Handle(from, kind, body) || s.keeper.handle(from, kind, body) {
 		return
 	}
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -29,19 +29,23 @@
 
 // The kinds of messages.
 const (
-	KindReplicate  Kind = iota + 1 // a raft message, between controllers
-	KindPoll                       // Poll, to a controller
-	KindPollReply                  // PollReply
-	KindFetch                      // Fetch, to a controller
-	KindDocument                   // an encoded route.Document
-	KindEnter                      // Enter, to a controller
-	KindEnterReply                 // EnterReply
-	KindNews                       // no body: the receiver should poll now
-	KindAccepted                   // Accepted, to an entry instance
-	KindReturned                   // Returned, to an entry instance
-	KindLocate                     // Locate, to an agent
-	KindLocated                    // Located, to an entry instance
-	KindFound                      // Found, to an entry instance
+	KindReplicate    Kind = iota + 1 // a raft message, between controllers
+	KindPoll                         // Poll, to a controller
+	KindPollReply                    // PollReply
+	KindFetch                        // Fetch, to a controller
+	KindDocument                     // an encoded route.Document
+	KindEnter                        // Enter, to a controller
+	KindEnterReply                   // EnterReply
+	KindNews                         // no body: the receiver should poll now
+	KindAccepted                     // Accepted, to an entry instance
+	KindReturned                     // Returned, to an entry instance
+	KindLocate                       // Locate, to an agent
+	KindLocated                      // Located, to an entry instance
+	KindFound                        // Found, to an entry instance
+	KindCheckpoint                   // a checkpoint.Batch, to a controller
+	KindCheckpointed                 // Checkpointed, to an agent
+	KindRecall                       // Recall, to a controller
+	KindRecalled                     // the batches of the agent, one behind the other
 )
 
 // ErrorKind classifies an Error.
@@ -225,6 +229,17 @@
 	return Found{Key: parseKey(body)}, nil
 }
 
+// Checkpointed tells an agent which of its flows a controller knows.
+type Checkpointed struct {
+	Epoch    uint64 `cbor:"1,keyasint"` // start of the agent that the position belongs to
+	Position uint64 `cbor:"2,keyasint"`
+}
+
+// Recall asks a controller for the flows of the sender before it started.
+type Recall struct {
+	Agent flow.Endpoint `cbor:"1,keyasint"` // receives the packets of clients
+}
+
 // Locate asks an agent whether its backend server holds flows.
 type Locate struct {
 	ID   uint32 // of the question, for the answer
--- /dev/null
+++ b/internal/state/checkpoint/checkpoint.go
@@ -0,0 +1,205 @@
+// Package checkpoint remembers the open flows of agents where a loss of power
+// does not reach them: at controllers, which have disks. An agent that starts
+// again recalls them. If its backend server has started anew, the remembered
+// flows are lost, and their clients can be told before they send a request that
+// must not be repeated.
+//
+// # Usage
+//
+// An agent tracks its flows and sends what each controller lacks:
+//
+//	tracker := checkpoint.NewTracker(agent, epoch)
+//	tracker.Observe(born, flows)
+//	batch, ok := tracker.Batch(controller)
+//	tracker.Acknowledge(controller, epoch, position)
+//
+// A controller keeps the batches without reading their flows:
+//
+//	store := checkpoint.NewStore()
+//	position, kept := store.Apply(now, batch, encoded)
+//	batches := store.Recall(agent)
+//
+// An agent that starts puts them together again:
+//
+//	memory, err := checkpoint.Restore(batches)
+//
+// # Guarantees
+//
+// A checkpoint is a hint. It may lack flows that were opened in the last second
+// and hold some that have been closed since. It is never the reason to reset a
+// flow whose backend server may still live.
+package checkpoint
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"jayspindle/internal/state/failure"
+	"jayspindle/internal/state/flow"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindMalformed Kind = "malformed" // the bytes are not a batch
+	KindFile      Kind = "file"      // the file cannot be read or written
+)
+
+// Error is the error type of this package.
+type Error = failure.Error[Kind]
+
+func newError(operation string, kind Kind, err error) *Error {
+	return failure.New("checkpoint", operation, kind, err)
+}
+
+// Flow is an open flow.
+type Flow struct {
+	Key          flow.Key
+	Acknowledged uint32 // by the client, some time ago
+}
+
+// Batch is the change of an agent's flows from one position to another. From
+// position 0 it holds all of them.
+type Batch struct {
+	Agent    flow.Endpoint
+	Born     int64  // start of the backend server, Unix milliseconds
+	Epoch    uint64 // start of the agent; a later one has a higher one
+	From, To uint64
+	Opened   []Flow // or changed
+	Closed   []flow.Key
+}
+
+const (
+	endpointBytes = 6
+	keyBytes      = 2 * endpointBytes
+	flowBytes     = keyBytes + 4
+	headBytes     = endpointBytes + 4*8 + 2*4
+
+	// maxFlows bounds the flows of a batch: an agent's backend server holds a
+	// few thousand.
+	maxFlows = 1 << 16
+)
+
+// Append appends the encoded batch to the buffer.
+func (b Batch) Append(buffer []byte) []byte {
+	buffer = appendEndpoint(buffer, b.Agent)
+	buffer = binary.LittleEndian.AppendUint64(buffer, uint64(b.Born))
+	buffer = binary.LittleEndian.AppendUint64(buffer, b.Epoch)
+	buffer = binary.LittleEndian.AppendUint64(buffer, b.From)
+	buffer = binary.LittleEndian.AppendUint64(buffer, b.To)
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(b.Opened)))
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(b.Closed)))
+
+	for _, opened := range b.Opened {
+		buffer = binary.LittleEndian.AppendUint32(appendKey(buffer, opened.Key), opened.Acknowledged)
+	}
+
+	for _, closed := range b.Closed {
+		buffer = appendKey(buffer, closed)
+	}
+
+	return buffer
+}
+
+// Parse reads a batch and returns the bytes behind it.
+func Parse(encoded []byte) (batch Batch, rest []byte, err error) {
+	if len(encoded) < headBytes {
+		return Batch{}, nil, newError("parse", KindMalformed, fmt.Errorf("%d bytes are no batch", len(encoded)))
+	}
+
+	batch.Agent, encoded = takeEndpoint(encoded)
+	batch.Born = int64(binary.LittleEndian.Uint64(encoded))
+	batch.Epoch = binary.LittleEndian.Uint64(encoded[8:])
+	batch.From = binary.LittleEndian.Uint64(encoded[16:])
+	batch.To = binary.LittleEndian.Uint64(encoded[24:])
+	opened, closed := binary.LittleEndian.Uint32(encoded[32:]), binary.LittleEndian.Uint32(encoded[36:])
+	encoded = encoded[headBytes-endpointBytes:]
+
+	if opened > maxFlows || closed > maxFlows || int(opened)*flowBytes+int(closed)*keyBytes > len(encoded) {
+		return Batch{}, nil, newError("parse", KindMalformed,
+			fmt.Errorf("%d bytes do not hold %d and %d flows", len(encoded), opened, closed))
+	}
+
+	for range opened {
+		var entry Flow
+
+		entry.Key, encoded = takeKey(encoded)
+		entry.Acknowledged = binary.LittleEndian.Uint32(encoded)
+		encoded = encoded[4:]
+		batch.Opened = append(batch.Opened, entry)
+	}
+
+	for range closed {
+		var key flow.Key
+
+		key, encoded = takeKey(encoded)
+		batch.Closed = append(batch.Closed, key)
+	}
+
+	return batch, encoded, nil
+}
+
+func appendEndpoint(buffer []byte, endpoint flow.Endpoint) []byte {
+	return binary.LittleEndian.AppendUint16(append(buffer, endpoint.IP[:]...), endpoint.Port)
+}
+
+func takeEndpoint(encoded []byte) (flow.Endpoint, []byte) {
+	return flow.Endpoint{IP: [4]byte(encoded[:4]), Port: binary.LittleEndian.Uint16(encoded[4:])}, encoded[endpointBytes:]
+}
+
+func appendKey(buffer []byte, key flow.Key) []byte {
+	return appendEndpoint(appendEndpoint(buffer, key.Client), key.Service)
+}
+
+func takeKey(encoded []byte) (key flow.Key, rest []byte) {
+	key.Client, rest = takeEndpoint(encoded)
+	key.Service, rest = takeEndpoint(rest)
+
+	return key, rest
+}
+
+// Memory is what an agent knew of its flows before it started.
+type Memory struct {
+	Born  int64  // start of the backend server that held the flows
+	Epoch uint64 // earlier start of the agent
+	Flows []Flow
+}
+
+// Restore puts the batches of an agent together. Without batches the memory is
+// empty.
+func Restore(encoded []byte) (Memory, error) {
+	var memory Memory
+
+	flows := make(map[flow.Key]uint32)
+
+	for len(encoded) > 0 {
+		batch, rest, err := Parse(encoded)
+		if err != nil {
+			return Memory{}, err
+		}
+
+		if batch.From == 0 {
+			clear(flows)
+		}
+
+		memory.Born, memory.Epoch = batch.Born, batch.Epoch
+
+		for _, opened := range batch.Opened {
+			flows[opened.Key] = opened.Acknowledged
+		}
+
+		for _, closed := range batch.Closed {
+			delete(flows, closed)
+		}
+
+		encoded = rest
+	}
+
+	for key, acknowledged := range flows {
+		memory.Flows = append(memory.Flows, Flow{Key: key, Acknowledged: acknowledged})
+	}
+
+	return memory, nil
+}
