Order the requests that wait for a slot of the backend server

Cause: after a fault or in a burst, requests wait in the backend server in the order of arrival.

Change: an agent hands as many requests over as the backend server has slots, and keeps the others. A request whose client closes its flow meanwhile is dropped, also when the client repeats it. The header of packets has the sequence number, which tells a repeated packet from a new request.

TestLoad sent the same bytes twice and took them for two requests; its second request now has a sequence number of its own.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -71,6 +71,7 @@
 	Return        // return the packet to the entry instance at Forwarder
 	ToClient      // send the packet to the client
 	Reset         // reset the flow at its client
+	Hold          // the gate keeps the packet until Start returns it
 )
 
 // Reason is why a packet was not delivered, as it appears in logs.
@@ -101,6 +102,8 @@
 // Counters count what a Gate has decided.
 type Counters struct {
 	Accepted, Refused, Resets, Returned, Stray uint64
+	Held                                       uint64 // requests that waited for a slot
+	Abandoned                                  uint64 // requests whose clients closed the flow meanwhile
 }
 
 type heldState uint8
@@ -121,9 +124,20 @@
 	last      time.Time
 	acked     uint32    // the last sequence number that the client acknowledged
 	waiting   time.Time // since when the client waits for an answer; zero if it does not
+	heard     bool      // data of the client was seen
+	end       uint32    // sequence number behind the data of the client
+	handed    time.Time // since when the backend server has the request; zero if it has none
+	held      *request  // that waits for a slot; nil if there is none
+	abandoned bool      // the client has closed the flow while its request waited
 	closing   [2]bool   // client, backend server
 }
 
+// isNew reports whether a packet has data that the client did not send before. A
+// repeated packet is no new request.
+func (h *held) isNew(header flow.Header) bool {
+	return header.Length > 0 && (!h.heard || int32(header.End()-h.end) > 0)
+}
+
 func (h *held) closed() bool { return h.closing[0] && h.closing[1] }
 
 // Config holds what is fixed for a Gate.
@@ -142,7 +156,10 @@
 	flows    map[flow.Key]*held
 	open     int // flows that are not closed
 	waiting  int // flows whose client waits
+	running  int // requests that the backend server has
+	queue    queue
 	swept    time.Time
+	checked  time.Time // last time that overdue answers were looked for
 	counters Counters
 	observe  func(wait time.Duration)
 }
@@ -150,7 +167,9 @@
 // New returns a gate that has not heard its backend server. Observe is called
 // with the time to the first byte of each answer.
 func New(config Config, observe func(wait time.Duration)) *Gate {
-	return &Gate{config: config, flows: make(map[flow.Key]*held), swept: config.Boot, observe: observe}
+	return &Gate{
+		config: config, flows: make(map[flow.Key]*held), swept: config.Boot, observe: observe, queue: newQueue(),
+	}
 }
 
 // Follow puts a document in force. Older versions are ignored.
@@ -171,8 +190,9 @@
 	return roster.Load{Flows: uint16(min(g.open, 1<<16-1)), Waiting: uint16(min(g.waiting, 1<<16-1))}
 }
 
-// FromClient decides about a packet that an entry instance forwarded.
-func (g *Gate) FromClient(now time.Time, forwarder flow.Endpoint, header flow.Header) Decision {
+// FromClient decides about a packet that an entry instance forwarded. The gate
+// copies what it keeps of the packet.
+func (g *Gate) FromClient(now time.Time, forwarder flow.Endpoint, header flow.Header, packet []byte) Decision {
 	key := header.Key()
 	h := g.flows[key]
 
@@ -205,9 +225,8 @@
 	}
 
 	h.forwarder, h.last, h.acked = forwarder, now, header.Acknowledged
-	g.clientSent(now, key, h, header)
 
-	return Decision{Kind: Deliver}
+	return Decision{Kind: g.clientSent(now, key, h, header, packet)}
 }
 
 // opens decides about the first packet of a flow.
@@ -263,24 +282,53 @@
 		g.open--
 	}
 
+	g.done(h)
+	g.dropRequest(h)
+
 	if !h.waiting.IsZero() {
 		g.waiting--
 	}
 }
 
-// clientSent notes what a packet of the client does to its flow.
-func (g *Gate) clientSent(now time.Time, key flow.Key, h *held, header flow.Header) {
-	if header.Length > 0 && h.waiting.IsZero() {
-		h.waiting = now
-		g.waiting++
-	}
+// clientSent notes what a packet of the client does to its flow, and returns
+// whether it is delivered now.
+func (g *Gate) clientSent(now time.Time, key flow.Key, h *held, header flow.Header, packet []byte) Kind {
+	kind := Deliver
 
 	switch {
 	case header.Reset:
 		g.forget(key, h)
-	case header.Close:
+
+		return Deliver
+	case h.abandoned:
+		return Drop
+	case h.held != nil && header.Close:
+		g.abandon(h)
+
+		kind = Drop
+	case h.held != nil && header.Length > 0:
+		h.held.keep(header.Sequence, packet)
+
+		kind = Hold
+	case h.isNew(header) && h.waiting.IsZero():
+		h.waiting = now
+		g.waiting++
+
+		kind = g.asks(now, key, h, header.Sequence, packet)
+	}
+
+	if h.isNew(header) {
+		h.heard, h.end = true, header.End()
+	}
+
+	// A client that closes while its request runs does not want the answer any
+	// more, and the backend server may not give one.
+	if header.Close {
+		g.done(h)
 		g.closes(h, 0)
 	}
+
+	return kind
 }
 
 func (g *Gate) closes(h *held, end int) {
@@ -323,10 +371,8 @@
 		h.confirmed = true
 	}
 
-	if header.Length > 0 && !h.waiting.IsZero() {
-		g.observe(now.Sub(h.waiting))
-		h.waiting = time.Time{}
-		g.waiting--
+	if header.Length > 0 && !h.waiting.IsZero() && h.held == nil {
+		g.answered(now, key, h)
 	}
 
 	switch {
@@ -339,6 +385,19 @@
 	return decision
 }
 
+// answered notes the first packet of an answer.
+func (g *Gate) answered(now time.Time, key flow.Key, h *held) {
+	g.observe(now.Sub(h.waiting))
+
+	if !h.handed.IsZero() {
+		g.queue.ran(key.Service, now.Sub(h.handed))
+	}
+
+	g.done(h)
+	h.waiting = time.Time{}
+	g.waiting--
+}
+
 // returned decides about a packet that the backend server does not want.
 func (g *Gate) returned(header flow.Header) Decision {
 	key := header.Key()
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -73,7 +73,7 @@
 	b.is.Helper()
 
 	header.Source, header.Destination = key.Client, key.Service
-	decision := b.gate.FromClient(b.now, forwarder, header)
+	decision := b.gate.FromClient(b.now, forwarder, header, []byte("packet"))
 	b.is.Equal(decision.Kind, want)
 
 	return decision
@@ -207,7 +207,10 @@
 	b.open()
 	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1})
 
-	b.fromClient(request, gate.Deliver)
+	next := request
+	next.Sequence = request.End()
+
+	b.fromClient(next, gate.Deliver)
 	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1, Waiting: 1})
 
 	closes := flow.Header{Acks: true, Close: true, Length: 10}
--- a/internal/program/registry/keeper_test.go
+++ b/internal/program/registry/keeper_test.go
@@ -102,7 +102,7 @@
 		return true
 	})
 
-	t.Run("another agent", func(t *testing.T) {
+	t.Run("another agent", func(*testing.T) {
 		other, err := wire.Encode(wire.KindRecall, wire.Recall{Agent: c.address(98)})
 		c.is.NoErr(err)
 
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -240,7 +240,8 @@
 		return
 	}
 
-	s.do(header.Key(), header, s.gate.FromClient(time.Now(), forwarder, header), packet)
+	s.do(header.Key(), header, s.gate.FromClient(time.Now(), forwarder, header, packet), packet)
+	s.start()
 }
 
 // fromBackend handles a packet of the backend server, or one that it returned.
@@ -254,6 +255,7 @@
 	}
 
 	s.do(key, header, s.gate.FromBackend(time.Now(), header), packet)
+	s.start()
 }
 
 // do carries out a decision. The caller holds the mutex.
@@ -269,7 +271,7 @@
 		err = s.notify(decision.Forwarder, wire.Returned{Load: s.gate.Load(), Packet: packet}.Append(s.buffer[:0]))
 	case gate.Reset:
 		err = s.toClient(key, s.codec.AppendReset(s.buffer[:0], key, header.Acknowledged))
-	case gate.Drop:
+	case gate.Drop, gate.Hold:
 	}
 
 	switch {
@@ -291,6 +293,17 @@
 	}
 }
 
+// start hands over the requests that get a slot. The caller holds the mutex.
+func (s *Sidecar) start() {
+	for _, started := range s.gate.Start(time.Now()) {
+		for _, packet := range started.Packets {
+			if err := s.outbound.Send(packet, s.settings.Backend); err != nil {
+				s.logger.Debug("a packet did not leave", "flow", started.Key.String(), "error", err)
+			}
+		}
+	}
+}
+
 func (s *Sidecar) toClient(key flow.Key, packet []byte) error {
 	return s.data.Send(packet, netip.AddrPortFrom(key.Client.Addr(), s.settings.ClientPort))
 }
@@ -350,6 +363,7 @@
 
 		s.mutex.Lock()
 		changed := s.gate.Sweep(time.Now())
+		s.start()
 		s.mutex.Unlock()
 
 		if changed {
--- a/internal/state/flow/flow.go
+++ b/internal/state/flow/flow.go
@@ -81,6 +81,7 @@
 	Reset    bool // ends the flow
 	Returned bool // a backend server returned the packet: it does not hold the flow, or cannot accept it
 
+	Sequence     uint32 // of the first byte of data
 	Acknowledged uint32 // next sequence number expected from the other end
 	Length       int    // bytes of data
 }
@@ -91,6 +92,9 @@
 // ReplyKey returns the key of the flow of a packet that a backend server sent.
 func (h Header) ReplyKey() Key { return Key{Client: h.Destination, Service: h.Source} }
 
+// End returns the sequence number behind the data.
+func (h Header) End() uint32 { return h.Sequence + uint32(h.Length) }
+
 // Opens reports whether a client asks to open a flow.
 func (h Header) Opens() bool { return h.Open && !h.Acks }
 
