Pass over backend servers whose requests fail

Ruled out: flows that were lost or moved (no reset of our own in that time); slow backend servers (none).

Entry instances take such an agent only if no other is left, or if more than a third of the service fails. Open flows stay where they are.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -99,6 +99,7 @@
 
 	if b.state == unheard || report.Born > b.born {
 		b.watched = b.state != unheard || g.sawStart(now, report)
+		g.health = health{}
 	}
 
 	b.id, b.born, b.sequence, b.slots, b.heard = report.ID, report.Born, report.Sequence, report.Slots, now
@@ -164,10 +165,10 @@
 // Record describes the agent for the list of agents.
 func (g *Gate) Record(now time.Time) roster.Record {
 	b := &g.backend
-	load := g.Load()
+	load := g.Load(now)
 	record := roster.Record{
 		Service: g.config.Service, Slots: b.slots, Cold: b.state == serving && now.Before(b.coldTill),
-		Flows: load.Flows, Waiting: load.Waiting,
+		Flows: load.Flows, Waiting: load.Waiting, Failing: load.Failing,
 	}
 
 	switch b.state {
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -128,6 +128,7 @@
 	end       uint32    // sequence number behind the data of the client
 	handed    time.Time // since when the backend server has the request; zero if it has none
 	held      *request  // that waits for a slot; nil if there is none
+	overdue   bool      // the backend server has not answered the opening packet in time
 	abandoned bool      // the client has closed the flow while its request waited
 	closing   [2]bool   // client, backend server
 }
@@ -158,6 +159,7 @@
 	waiting  int // flows whose client waits
 	running  int // requests that the backend server has
 	queue    queue
+	health   health
 	swept    time.Time
 	checked  time.Time // last time that overdue answers were looked for
 	counters Counters
@@ -186,8 +188,10 @@
 func (g *Gate) Counters() Counters { return g.counters }
 
 // Load returns the load of the backend server.
-func (g *Gate) Load() roster.Load {
-	return roster.Load{Flows: uint16(min(g.open, 1<<16-1)), Waiting: uint16(min(g.waiting, 1<<16-1))}
+func (g *Gate) Load(now time.Time) roster.Load {
+	return roster.Load{
+		Flows: uint16(min(g.open, 1<<16-1)), Waiting: uint16(min(g.waiting, 1<<16-1)), Failing: g.health.failing(now),
+	}
 }
 
 // FromClient decides about a packet that an entry instance forwarded. The gate
@@ -377,6 +381,10 @@
 
 	switch {
 	case header.Reset:
+		if !h.handed.IsZero() {
+			g.health.observe(now, true)
+		}
+
 		g.forget(key, h)
 	case header.Close:
 		g.closes(h, 1)
@@ -391,6 +399,7 @@
 
 	if !h.handed.IsZero() {
 		g.queue.ran(key.Service, now.Sub(h.handed))
+		g.health.observe(now, false)
 	}
 
 	g.done(h)
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -165,7 +165,7 @@
 		returned := opens
 		returned.Returned = true
 		b.is.Equal(b.fromBackend(returned, gate.Return).Reason, gate.ReasonFull)
-		b.is.Equal(b.gate.Load(), roster.Load{})
+		b.is.Equal(b.gate.Load(b.now), roster.Load{})
 	})
 }
 
@@ -205,22 +205,22 @@
 	b := newBench(t)
 	b.report(report(start, 1))
 	b.open()
-	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{Flows: 1})
 
 	next := request
 	next.Sequence = request.End()
 
 	b.fromClient(next, gate.Deliver)
-	b.is.Equal(b.gate.Load(), roster.Load{Flows: 1, Waiting: 1})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{Flows: 1, Waiting: 1})
 
 	closes := flow.Header{Acks: true, Close: true, Length: 10}
 	b.fromBackend(closes, gate.ToClient)
 	b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver)
 	b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver) // repeated
-	b.is.Equal(b.gate.Load(), roster.Load{})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{})
 
 	b.gate.Sweep(b.now.Add(time.Minute))
-	b.is.Equal(b.gate.Load(), roster.Load{})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{})
 }
 
 // TestRestart guards against flows that are lost when the agent restarts while
@@ -262,7 +262,7 @@
 	returned := request
 	returned.Returned = true
 	b.fromBackend(returned, gate.Return)
-	b.is.Equal(b.gate.Load(), roster.Load{})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{})
 }
 
 // TestSecondAcceptance guards against the reset of a flow that two backend
@@ -325,7 +325,7 @@
 	orphans := b.gate.Orphans()
 	b.is.Equal(orphans, []gate.Orphan{{Key: key, Sequence: 5}})
 	b.is.Equal(len(b.gate.Orphans()), 0)
-	b.is.Equal(b.gate.Load(), roster.Load{})
+	b.is.Equal(b.gate.Load(b.now), roster.Load{})
 
 	b.fromClient(request, gate.Return)
 }
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -223,17 +223,23 @@
 	return Hold
 }
 
-// expireAnswers stops counting the requests whose answers are overdue.
+// expireAnswers stops counting the requests whose answers are overdue. The
+// backend server is to blame for them, and for opening packets without an answer.
 func (g *Gate) expireAnswers(now time.Time) {
-	if now.Sub(g.checked) < runLimit/4 || g.running == 0 {
+	if now.Sub(g.checked) < acceptLimit {
 		return
 	}
 
 	g.checked = now
 
 	for _, h := range g.flows {
-		if !h.handed.IsZero() && now.Sub(h.handed) > runLimit {
+		switch {
+		case !h.handed.IsZero() && now.Sub(h.handed) > runLimit:
 			g.done(h)
+			g.health.observe(now, true)
+		case h.state == opening && !h.overdue && now.Sub(h.since) > acceptLimit:
+			h.overdue = true
+			g.health.observe(now, true)
 		}
 	}
 }
--- a/internal/coordination/gate/queue_test.go
+++ b/internal/coordination/gate/queue_test.go
@@ -170,7 +170,7 @@
 		s.is.Equal(len(s.answer(a)), 0)
 		s.is.Equal(s.fromClient(b, flow.Header{Acks: true, Length: 100}), gate.Drop) // repeated
 		s.is.Equal(s.gate.Counters().Abandoned, uint64(1))
-		s.is.Equal(s.gate.Load().Waiting, uint16(0))
+		s.is.Equal(s.gate.Load(s.now).Waiting, uint16(0))
 	})
 
 	t.Run("close while it runs", func(t *testing.T) {
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -113,14 +113,19 @@
 }
 
 // chooseOf returns the least loaded of a few agents of a service. Suspect ones
-// are taken only if no other is left.
+// are taken only if no other is left, and so are those whose requests fail: they
+// answer fast, have few flows, and would attract all new ones. If many of a
+// service fail, the cause is likely elsewhere, and the others would not bear the
+// load of all.
 func (r *Router) chooseOf(now time.Time, service string, hash uint64, tried []flow.Endpoint) *agent {
 	var trusted, suspects []*agent
 
+	avoid := r.failing(service) <= int(maxFailing*float64(len(r.services[service])))
+
 	for _, a := range r.services[service] {
 		switch {
 		case a.State != roster.Ready || slices.Contains(tried, a.Address):
-		case now.Before(a.suspect):
+		case now.Before(a.suspect), avoid && a.Failing:
 			suspects = append(suspects, a)
 		default:
 			trusted = append(trusted, a)
@@ -148,6 +153,19 @@
 	})
 }
 
+// failing returns the number of agents of a service whose requests fail.
+func (r *Router) failing(service string) int {
+	count := 0
+
+	for _, a := range r.services[service] {
+		if a.Failing {
+			count++
+		}
+	}
+
+	return count
+}
+
 // load is the number of flows of an agent for each of its slots, with what
 // makes a new flow dearer there counted on top.
 func (r *Router) load(a *agent) float64 {
@@ -176,7 +194,7 @@
 // report notes the load that an agent states in an answer.
 func (r *Router) report(from flow.Endpoint, load roster.Load) {
 	if a := r.agents[from]; a != nil {
-		a.Flows, a.Waiting, a.since = load.Flows, load.Waiting, 0
+		a.Flows, a.Waiting, a.Failing, a.since = load.Flows, load.Waiting, load.Failing, 0
 		a.suspect = time.Time{}
 	}
 }
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -269,3 +269,65 @@
 	router.Apply(start, agents(1, roster.Ready), false)
 	is.True(router.Serving())
 }
+
+// TestOpenFailing guards against backend servers whose requests fail and that
+// get new flows all the same, because they have the fewest.
+func TestOpenFailing(t *testing.T) {
+	fail := func(w *world, count, failing int) {
+		records := agents(count, roster.Ready)
+		for i := range records {
+			records[i].Flows = 100
+			if i < failing {
+				records[i].Flows, records[i].Failing = 0, true
+			}
+		}
+
+		w.router.Apply(w.now, records, true)
+	}
+
+	t.Run("passed over", func(t *testing.T) {
+		w := newWorld(t, 6)
+		fail(w, 6, 2)
+
+		for number := range 100 {
+			w.is.True(w.open(client(number)).IP[3] > 2)
+		}
+	})
+
+	t.Run("too many", func(t *testing.T) {
+		w := newWorld(t, 6)
+		fail(w, 6, 3)
+		w.is.True(w.open(client(1)).IP[3] <= 3)
+	})
+
+	t.Run("last resort", func(t *testing.T) {
+		w := newWorld(t, 3)
+		fail(w, 3, 1)
+
+		key := client(1)
+		for range 2 {
+			actions := w.router.Packet(w.now, opening(key), []byte("open"))
+			w.router.Returned(w.now, actions[0].To, opening(key), []byte("open"), roster.Load{})
+		}
+
+		tried := map[flow.Endpoint]bool{}
+		actions := w.router.Packet(w.now, opening(client(2)), []byte("open"))
+
+		for len(actions) == 1 && actions[0].Kind == steering.Forward {
+			tried[actions[0].To] = true
+			actions = w.router.Returned(w.now, actions[0].To, opening(client(2)), []byte("open"), roster.Load{})
+		}
+
+		w.is.Equal(len(tried), 3)
+	})
+
+	t.Run("told with an answer", func(t *testing.T) {
+		w := newWorld(t, 3)
+		first := w.open(client(1))
+		w.router.Accepted(w.now, first, client(1), roster.Load{Failing: true})
+
+		for number := range 30 {
+			w.is.True(w.open(client(2+number)) != first)
+		}
+	})
+}
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -131,6 +131,10 @@
 	// imbalance of 1.25 that the deployments accept.
 	farPenalty = 0.15
 
+	// maxFailing is the share of the agents of a service that are passed over
+	// because their requests fail. The rest carries at most half as much again.
+	maxFailing = 0.34
+
 	// waitingWeight is how many open flows one flow that waits for an answer
 	// counts for. Open flows are mostly idle.
 	waitingWeight = 4
--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -74,7 +74,7 @@
 	// others have claimed: the history counts again once siblings have told theirs.
 	confirmedAt time.Time
 	gap         bool
-	established bool // the history was complete once
+	established bool          // the history was complete once
 	position    view.Position // of the view in force
 	// promised is the newest view that a sibling has told of. An agent that has
 	// not claimed yet does not begin under an older one.
--- a/internal/program/sidecar/metrics.go
+++ b/internal/program/sidecar/metrics.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"jayspindle/internal/coordination/gate"
 	"jayspindle/internal/program/latency"
 )
@@ -10,6 +12,7 @@
 	Decisions gate.Counters   `json:"decisions"`
 	Flows     int             `json:"flows"`   // open flows
 	Waiting   int             `json:"waiting"` // flows that wait for an answer
+	Failing   bool            `json:"failing"` // requests fail, so new flows go elsewhere
 	Version   uint64          `json:"version"` // of the document in force
 	Answers   latency.Summary `json:"answers"` // time to the first packet of an answer
 	Malformed uint64          `json:"malformed"`
@@ -20,10 +23,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	load := s.gate.Load()
+	load := s.gate.Load(time.Now())
 
 	return Metrics{
-		Decisions: s.gate.Counters(), Flows: int(load.Flows), Waiting: int(load.Waiting), Version: s.gate.Version(),
+		Decisions: s.gate.Counters(), Flows: int(load.Flows), Waiting: int(load.Waiting),
+		Failing: load.Failing, Version: s.gate.Version(),
 		Answers: s.answers.Summary(), Malformed: s.malformed.Load() + s.inner.Dropped(),
 	}
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -268,7 +268,7 @@
 	case gate.ToClient:
 		err = s.toClient(key, packet)
 	case gate.Return:
-		err = s.notify(decision.Forwarder, wire.Returned{Load: s.gate.Load(), Packet: packet}.Append(s.buffer[:0]))
+		err = s.notify(decision.Forwarder, wire.Returned{Load: s.gate.Load(time.Now()), Packet: packet}.Append(s.buffer[:0]))
 	case gate.Reset:
 		err = s.toClient(key, s.codec.AppendReset(s.buffer[:0], key, header.Acknowledged))
 	case gate.Drop, gate.Hold:
@@ -277,7 +277,7 @@
 	switch {
 	case decision.Accepted:
 		err = errors.Join(err, s.notify(decision.Forwarder,
-			wire.Accepted{Key: key, Load: s.gate.Load()}.Append(s.buffer[:0])))
+			wire.Accepted{Key: key, Load: s.gate.Load(time.Now())}.Append(s.buffer[:0])))
 	case decision.Found:
 		err = errors.Join(err, s.notify(decision.Forwarder,
 			wire.Found{Key: key}.Append(s.buffer[:0])))
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -133,7 +133,7 @@
 const (
 	endpointBytes = 6
 	keyBytes      = 2 * endpointBytes
-	loadBytes     = 4
+	loadBytes     = 5
 	idBytes       = 4
 )
 
@@ -156,11 +156,19 @@
 func appendLoad(buffer []byte, load roster.Load) []byte {
 	buffer = binary.LittleEndian.AppendUint16(buffer, load.Flows)
 
-	return binary.LittleEndian.AppendUint16(buffer, load.Waiting)
+	buffer = binary.LittleEndian.AppendUint16(buffer, load.Waiting)
+
+	if load.Failing {
+		return append(buffer, 1)
+	}
+
+	return append(buffer, 0)
 }
 
 func parseLoad(body []byte) roster.Load {
-	return roster.Load{Flows: binary.LittleEndian.Uint16(body), Waiting: binary.LittleEndian.Uint16(body[2:])}
+	return roster.Load{
+		Flows: binary.LittleEndian.Uint16(body), Waiting: binary.LittleEndian.Uint16(body[2:]), Failing: body[4] != 0,
+	}
 }
 
 func need(operation string, body []byte, length int) error {
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -67,6 +67,7 @@
 type Load struct {
 	Flows   uint16 // open flows
 	Waiting uint16 // flows that wait for an answer
+	Failing bool   // requests fail, so new flows should go elsewhere
 }
 
 // Record describes one agent.
@@ -81,6 +82,7 @@
 	Flows   uint16        `cbor:"8,keyasint,omitempty"`  // open flows
 	Waiting uint16        `cbor:"9,keyasint,omitempty"`  // flows that wait for an answer
 	Changed uint64        `cbor:"10,keyasint,omitempty"` // position of the last change
+	Failing bool          `cbor:"11,keyasint,omitempty"` // requests fail, so new flows should go elsewhere
 }
 
 // differs reports whether followers have to be told of a change.
