Log requests that waited, were dropped, or made agents unfit

Cause: an operator could not see from the logs why a request was late at an agent, or why new flows passed it by. Ruled out: lines for every request that waits: a backlog would write hundreds a second, which drops others. Change: lines for requests that waited 50 ms or more, for packets dropped since the client has closed its flow, and when the outcome of requests changes; the latter is announced at once.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -88,6 +88,7 @@
 	ReasonNotHeld  Reason = "the backend server does not hold the flow"
 	ReasonReplaced Reason = "the backend server that held the flow has ended"
 	ReasonStray    Reason = "nobody waits for the packet"
+	ReasonClosed   Reason = "the client closed the flow while its request waited for a slot"
 )
 
 // Decision is the outcome for one packet.
@@ -230,7 +231,12 @@
 
 	h.forwarder, h.last, h.acked = forwarder, now, header.Acknowledged
 
-	return Decision{Kind: g.clientSent(now, key, h, header, packet)}
+	decision := Decision{Kind: g.clientSent(now, key, h, header, packet)}
+	if decision.Kind == Drop {
+		decision.Reason = ReasonClosed
+	}
+
+	return decision
 }
 
 // opens decides about the first packet of a flow.
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -39,6 +39,10 @@
 	// sweepInterval is a fraction of the time between two reports of a backend
 	// server.
 	sweepInterval = 250 * time.Millisecond
+
+	// longWait is the wait of a request from which it is logged: a share of the
+	// latency that clients aim at that the wait alone makes them miss.
+	longWait = 50 * time.Millisecond
 )
 
 // Kind classifies an Error.
@@ -296,6 +300,11 @@
 // start hands over the requests that get a slot. The caller holds the mutex.
 func (s *Sidecar) start() {
 	for _, started := range s.gate.Start(time.Now()) {
+		if started.Waited >= longWait {
+			s.logger.Info("a request waited for a slot", "flow", started.Key.String(),
+				"waited_ms", started.Waited.Milliseconds(), "waiting", s.gate.Load(time.Now()).Waiting)
+		}
+
 		for _, packet := range started.Packets {
 			if err := s.outbound.Send(packet, s.settings.Backend); err != nil {
 				s.logger.Debug("a packet did not leave", "flow", started.Key.String(), "error", err)
@@ -354,6 +363,8 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 
+	failed := false
+
 	for {
 		select {
 		case <-ticker.C:
@@ -364,12 +375,22 @@
 		s.mutex.Lock()
 		changed := s.gate.Sweep(time.Now())
 		s.start()
+		failing := s.gate.Load(time.Now()).Failing
 		s.mutex.Unlock()
 
 		if changed {
 			s.logger.Warn("the backend server no longer reports")
+		}
+
+		if failing != failed {
+			s.logger.Warn("the outcome of requests changed", "failing", failing)
+		}
+
+		if changed || failing != failed {
 			s.follower.Poll()
 		}
+
+		failed = failing
 	}
 }
 
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -162,7 +162,7 @@
 		}
 	}
 
-	urgent := record.State != known.State || record.Service != known.Service
+	urgent := record.State != known.State || record.Service != known.Service || record.Failing != known.Failing
 	if record.differs(known.Record) {
 		l.position++
 		record.Changed = l.position
