Show controllers, agents and the holder of a flow to operators

Cause: status, history and explain answer for QUIC services only. On deployments of pass-through services an operator had logs and counters, but nothing that says which agent holds a flow now, or which controller lags.

Ruled out: a status call on the controllers' control address, which belongs to the platform's interface.

Change: the commands fleet and flow, and the package inspect, which polls controllers like an instance that follows the list of agents, and asks agents like an entry instance that looks for a flow. Neither changes anything there.

Before: nothing of the kind.

The programs of the platform do not change.

--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -61,6 +61,8 @@
 	commander.Register(&historyCommand{}, groupOperators)
 	commander.Register(&explainCommand{}, groupOperators)
 	commander.Register(&membersCommand{}, groupOperators)
+	commander.Register(&fleetCommand{}, groupOperators)
+	commander.Register(&flowCommand{}, groupOperators)
 	commander.Register(&rotateKeyCommand{}, groupOperators)
 	commander.Register(&traceCommand{}, groupOperators)
 	commander.Register(&backendCommand{}, groupTests)
--- /dev/null
+++ b/internal/cli/cmd/inspect.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"time"
+
+	"jayspindle/internal/program/inspect"
+	"jayspindle/internal/state/flow"
+)
+
+// inspectTimeout is above two elections of the controllers.
+const inspectTimeout = 2 * time.Second
+
+// inspectFlags are the flags of the commands for pass-through services.
+type inspectFlags struct {
+	controllers string
+	from        string
+	timeout     time.Duration
+	json        bool
+}
+
+func (f *inspectFlags) setFlags(flags *flag.FlagSet) {
+	flags.StringVar(&f.controllers, "controllers", "", "addresses for messages of the controllers, separated by commas")
+	flags.StringVar(&f.from, "from", "0.0.0.0:0", "address to ask from; agents answer to it")
+	flags.DurationVar(&f.timeout, "timeout", inspectTimeout, "how long to wait for answers")
+	flags.BoolVar(&f.json, "json", false, "print JSON")
+}
+
+// endpoints returns the controllers, at least one.
+func (f *inspectFlags) endpoints() ([]flow.Endpoint, error) {
+	var found []flow.Endpoint
+
+	for text := range strings.SplitSeq(f.controllers, ",") {
+		endpoint, err := parseEndpoint("controllers", strings.TrimSpace(text))
+		if err != nil {
+			return nil, err
+		}
+
+		found = append(found, endpoint)
+	}
+
+	return found, nil
+}
+
+func (f *inspectFlags) open() (*inspect.Inspector, error) {
+	from, err := netip.ParseAddrPort(f.from)
+	if err != nil {
+		return nil, fmt.Errorf("-from: found %q, allowed: an IPv4 address with a port", f.from)
+	}
+
+	return inspect.New(from, slog.New(slog.DiscardHandler))
+}
+
+func parseEndpoint(name, text string) (flow.Endpoint, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return flow.Endpoint{}, fmt.Errorf("%s: found %q, allowed: an IPv4 address with a port", name, text)
+	}
+
+	endpoint, ok := flow.NewEndpoint(address)
+	if !ok {
+		return flow.Endpoint{}, fmt.Errorf("%s: found %q, allowed: an IPv4 address with a port", name, text)
+	}
+
+	return endpoint, nil
+}
