Share the opening and closing of an inspector between its commands

Cause: the linter found that both commands drop the error of closing, and both repeated the same ten lines. Ruled out: an exclusion in the linter's settings, which would hide it elsewhere. Change: one function opens the inspector, bounds the time and closes it; errors of closing are shown.

--- a/internal/cli/cmd/fleet.go
+++ b/internal/cli/cmd/fleet.go
@@ -34,17 +34,12 @@
 		return usage("%v", err)
 	}
 
-	inspector, err := c.open()
-	if err != nil {
-		return fail(err)
-	}
-	defer inspector.Close()
-
-	limited, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-
-	fleet := inspector.Fleet(limited, controllers)
+	return c.ask(ctx, func(ctx context.Context, inspector *inspect.Inspector) subcommands.ExitStatus {
+		return c.show(inspector.Fleet(ctx, controllers))
+	})
+}
 
+func (c *fleetCommand) show(fleet *inspect.Fleet) subcommands.ExitStatus {
 	status := exitOK
 	if !agree(fleet) {
 		status = exitCheck
--- a/internal/cli/cmd/flow.go
+++ b/internal/cli/cmd/flow.go
@@ -52,21 +52,14 @@
 		return usage("%v", err)
 	}
 
-	inspector, err := c.open()
-	if err != nil {
-		return fail(err)
-	}
-	defer inspector.Close()
-
-	limited, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-
-	found, err := inspector.Flow(limited, controllers, flow.Key{Client: client, Service: service})
-	if err != nil {
-		return fail(err)
-	}
+	return c.ask(ctx, func(ctx context.Context, inspector *inspect.Inspector) subcommands.ExitStatus {
+		found, err := inspector.Flow(ctx, controllers, flow.Key{Client: client, Service: service})
+		if err != nil {
+			return fail(err)
+		}
 
-	return c.show(found)
+		return c.show(found)
+	})
 }
 
 func (c *flowCommand) show(found *inspect.Flow) subcommands.ExitStatus {
--- a/internal/cli/cmd/inspect.go
+++ b/internal/cli/cmd/inspect.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -8,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/subcommands"
+
 	"jayspindle/internal/program/inspect"
 	"jayspindle/internal/state/flow"
 )
@@ -46,13 +49,30 @@
 	return found, nil
 }
 
-func (f *inspectFlags) open() (*inspect.Inspector, error) {
+// ask runs a question within the timeout.
+func (f *inspectFlags) ask(
+	ctx context.Context, question func(ctx context.Context, inspector *inspect.Inspector) subcommands.ExitStatus,
+) subcommands.ExitStatus {
 	from, err := netip.ParseAddrPort(f.from)
 	if err != nil {
-		return nil, fmt.Errorf("-from: found %q, allowed: an IPv4 address with a port", f.from)
+		return usage("-from: found %q, allowed: an IPv4 address with a port", f.from)
+	}
+
+	inspector, err := inspect.New(from, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return fail(err)
+	}
+
+	limited, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+
+	status := question(limited, inspector)
+
+	if err := inspector.Close(); err != nil {
+		return fail(err)
 	}
 
-	return inspect.New(from, slog.New(slog.DiscardHandler))
+	return status
 }
 
 func parseEndpoint(name, text string) (flow.Endpoint, error) {
--- a/internal/program/inspect/inspect_test.go
+++ b/internal/program/inspect/inspect_test.go
@@ -50,16 +50,19 @@
 
 func (silentCodec) AppendReset(buffer []byte, _ flow.Key, _ uint32) []byte { return buffer }
 
-// run runs a program until the test ends.
-func run(t *testing.T, program interface {
+// program is a controller or an agent.
+type program interface {
 	Run(ctx context.Context) error
-}) {
+}
+
+// run runs a program until the test ends.
+func run(t *testing.T, started program) {
 	t.Helper()
 
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 
-	go func() { done <- program.Run(ctx) }()
+	go func() { done <- started.Run(ctx) }()
 
 	t.Cleanup(func() {
 		stop()
