Remember the flows of agents whose clock was set back

Cause: read of the code, not a failure that was seen. An agent that starts again with its clock set back has a lower epoch than what controllers hold of it; they refused its flows as late until it restarted once more. An agent that had recalled its flows also left them out of its checkpoints for a second. A file that could not be written anew stayed open.

Ruled out: the same for a backend server whose clock was set back: its earlier flows are ignored, not reset.

Change: a refusal names the epoch that the controller has, and the agent takes a higher one. Recalled flows count as lasting. The file is closed.

Before: TestClockSetBack holds the old flows. After: the new ones.

--- a/internal/coordination/gate/checkpoint.go
+++ b/internal/coordination/gate/checkpoint.go
@@ -68,6 +68,7 @@
 	if h == nil {
 		h = g.add(now, remembered.Key, open)
 		h.acked = remembered.Acknowledged
+		h.since = now.Add(-lasting) // it was remembered because it lasts
 	}
 
 	h.state, h.confirmed = open, true
--- a/internal/coordination/gate/checkpoint_test.go
+++ b/internal/coordination/gate/checkpoint_test.go
@@ -55,6 +55,9 @@
 		b.is.Equal(len(orphans), 0)
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
 
+		_, lasting := b.gate.Lasting(b.now)
+		b.is.Equal(lasting, map[flow.Key]uint32{key: 5})
+
 		// The flow has ended meanwhile.
 		returned := request
 		returned.Returned = true
--- a/internal/program/registry/keeper.go
+++ b/internal/program/registry/keeper.go
@@ -134,12 +134,12 @@
 			continue
 		}
 
-		position, applied := k.store.Apply(now, batch, arrived.encoded)
+		ack, applied := k.store.Apply(now, batch, arrived.encoded)
 		if applied {
 			batches = append(batches, arrived.encoded...)
 		}
 
-		replies[arrived.from] = wire.Checkpointed{Epoch: batch.Epoch, Position: position}
+		replies[arrived.from] = wire.Checkpointed{Epoch: ack.Epoch, Position: ack.Position}
 	}
 
 	oversized := k.file.Oversized(k.store)
--- a/internal/program/sidecar/keeper.go
+++ b/internal/program/sidecar/keeper.go
@@ -182,7 +182,9 @@
 		}
 
 		k.mutex.Lock()
-		k.tracker.Acknowledge(controller, acknowledged.Epoch, acknowledged.Position)
+		k.tracker.Acknowledge(controller, checkpoint.Acknowledgement{
+			Epoch: acknowledged.Epoch, Position: acknowledged.Position,
+		})
 		k.mutex.Unlock()
 	case wire.KindRecalled:
 		k.recalled(controller, body)
--- a/internal/state/checkpoint/checkpoint.go
+++ b/internal/state/checkpoint/checkpoint.go
@@ -11,12 +11,12 @@
 //	tracker := checkpoint.NewTracker(agent, epoch)
 //	tracker.Observe(born, flows)
 //	batch, ok := tracker.Batch(controller)
-//	tracker.Acknowledge(controller, epoch, position)
+//	tracker.Acknowledge(controller, ack)
 //
 // A controller keeps the batches without reading their flows:
 //
 //	store := checkpoint.NewStore()
-//	position, kept := store.Apply(now, batch, encoded)
+//	ack, applied := store.Apply(now, batch, encoded)
 //	batches := store.Recall(agent)
 //
 // An agent that starts puts them together again:
--- a/internal/state/checkpoint/checkpoint_test.go
+++ b/internal/state/checkpoint/checkpoint_test.go
@@ -55,8 +55,8 @@
 	is.New(t).NoErr(err)
 	is.New(t).Equal(len(rest), 0)
 
-	position, _ := store.Apply(start, parsed, encoded)
-	tracker.Acknowledge(to, batch.Epoch, position)
+	ack, _ := store.Apply(start, parsed, encoded)
+	tracker.Acknowledge(to, ack)
 }
 
 // holds checks what a controller remembers.
@@ -150,10 +150,10 @@
 			}
 
 			encoded := batch.Append(nil)
-			position, _ := store.Apply(start, batch, encoded)
+			ack, _ := store.Apply(start, batch, encoded)
 
 			if random.IntN(3) > 0 {
-				tracker.Acknowledge(to, batch.Epoch, position)
+				tracker.Acknowledge(to, ack)
 			}
 		}
 
@@ -172,6 +172,23 @@
 	}
 }
 
+// TestClockSetBack guards against an agent that is not remembered any more after
+// it has started again with a clock that was set back.
+func TestClockSetBack(t *testing.T) {
+	store := checkpoint.NewStore()
+
+	before := checkpoint.NewTracker(agent, epoch)
+	before.Observe(born, flows(1))
+	pass(t, before, controller, store)
+
+	after := checkpoint.NewTracker(agent, epoch-1)
+	after.Observe(born, flows(2))
+	pass(t, after, controller, store)
+	holds(t, store, flows(1))
+	pass(t, after, controller, store)
+	holds(t, store, flows(2))
+}
+
 // TestLateBatches guards against batches of an earlier start that arrive late.
 func TestLateBatches(t *testing.T) {
 	is := is.New(t)
@@ -251,7 +268,7 @@
 			}
 
 			encoded := batch.Append(nil)
-			position, _ := store.Apply(start, batch, encoded)
+			ack, _ := store.Apply(start, batch, encoded)
 
 			if random.IntN(5) == 0 {
 				err = file.Rewrite(store)
@@ -260,7 +277,7 @@
 			}
 
 			is.New(t).NoErr(err)
-			tracker.Acknowledge(controller, epoch, position)
+			tracker.Acknowledge(controller, ack)
 
 			saved = flows(step, step+1, step+2)
 		}
--- a/internal/state/checkpoint/file.go
+++ b/internal/state/checkpoint/file.go
@@ -1,6 +1,7 @@
 package checkpoint
 
 import (
+	"errors"
 	"path/filepath"
 	"time"
 
@@ -54,7 +55,11 @@
 	}
 
 	// The file is written anew, so that nothing follows a torn frame.
-	return f, f.Rewrite(store)
+	if err := f.Rewrite(store); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+
+	return f, nil
 }
 
 // load applies the frames of a file up to the first one that is not whole.
--- a/internal/state/checkpoint/store.go
+++ b/internal/state/checkpoint/store.go
@@ -47,19 +47,25 @@
 	s.bytes = 0
 }
 
-// Apply keeps a batch if it continues what is kept, and returns the position
-// that the agent may go on from. Encoded is the batch as it arrived; the store
-// keeps a copy.
-func (s *Store) Apply(now time.Time, batch Batch, encoded []byte) (position uint64, applied bool) {
+// Acknowledgement tells an agent what a store has of it.
+type Acknowledgement struct {
+	Epoch    uint64 // start of the agent that the position belongs to
+	Position uint64 // the agent may go on from here; 0 if it has to send all flows
+}
+
+// Apply keeps a batch if it continues what is kept. Encoded is the batch as it
+// arrived; the store keeps a copy.
+func (s *Store) Apply(now time.Time, batch Batch, encoded []byte) (ack Acknowledgement, applied bool) {
 	known := s.agents[batch.Agent]
+	nothing := Acknowledgement{Epoch: batch.Epoch}
 
 	switch {
 	case known == nil && batch.From > 0:
-		return 0, false
+		return nothing, false
 	case known != nil && (batch.Born < known.born || (batch.Born == known.born && batch.Epoch < known.epoch)):
-		return 0, false // of an earlier start
+		return Acknowledgement{Epoch: known.epoch}, false // of an earlier start
 	case known != nil && batch.Epoch == known.epoch && batch.To <= known.position:
-		return known.position, false
+		return Acknowledgement{Epoch: known.epoch, Position: known.position}, false
 	case batch.From == 0:
 		if known != nil {
 			s.bytes -= len(known.encoded)
@@ -68,9 +74,9 @@
 		known = &kept{born: batch.Born, epoch: batch.Epoch, whole: len(encoded)}
 		s.agents[batch.Agent] = known
 	case batch.Epoch != known.epoch || batch.Born != known.born:
-		return 0, false
+		return nothing, false
 	case batch.From != known.position:
-		return known.position, false
+		return Acknowledgement{Epoch: known.epoch, Position: known.position}, false
 	}
 
 	known.encoded = append(known.encoded, encoded...)
@@ -78,10 +84,10 @@
 	s.bytes += len(encoded)
 
 	if len(known.encoded) > growth*known.whole+slack {
-		return 0, true
+		return nothing, true
 	}
 
-	return known.position, true
+	return Acknowledgement{Epoch: known.epoch, Position: known.position}, true
 }
 
 // Recall returns the batches of an agent.
--- a/internal/state/checkpoint/tracker.go
+++ b/internal/state/checkpoint/tracker.go
@@ -85,14 +85,20 @@
 	}
 }
 
-// Acknowledge notes what a controller has. An acknowledgement of an earlier
-// start of the agent means that it has nothing of this one.
-func (t *Tracker) Acknowledge(controller flow.Endpoint, epoch, position uint64) {
-	if epoch != t.epoch || position > t.position {
-		position = 0
+// Acknowledge notes what a controller has. A controller that has something of a
+// later start knows the agent from before its clock was set back; the tracker then
+// takes a higher epoch, and all controllers get all flows.
+func (t *Tracker) Acknowledge(controller flow.Endpoint, ack Acknowledgement) {
+	switch {
+	case ack.Epoch > t.epoch:
+		t.epoch = ack.Epoch + 1
+
+		clear(t.acked)
+	case ack.Epoch < t.epoch || ack.Position > t.position:
+		t.acked[controller] = 0
+	default:
+		t.acked[controller] = ack.Position
 	}
-
-	t.acked[controller] = position
 }
 
 // Batch returns what a controller lacks, and false if that is nothing.
