Split the gate by concept and encode flow keys in one place

Ruled out: nothing to rule out; no behaviour changes. Change: held.go has the state of a flow, requests.go what becomes of requests, queue.go only their order; package flow encodes endpoints and keys. Before and after: the same tests pass; TestEncode is new.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -107,41 +107,6 @@
 	Abandoned                                  uint64 // requests whose clients closed the flow meanwhile
 }
 
-type heldState uint8
-
-const (
-	opening heldState = iota + 1 // the backend server was asked to accept
-	unsure                       // delivered without knowing whether the flow is held
-	open                         // the backend server has sent a packet of the flow
-)
-
-// held is one flow of the backend server.
-type held struct {
-	state     heldState
-	confirmed bool // the client uses the flow: it is not a second acceptance that nobody wants
-	born      int64
-	forwarder flow.Endpoint
-	since     time.Time
-	last      time.Time
-	acked     uint32    // the last sequence number that the client acknowledged
-	waiting   time.Time // since when the client waits for an answer; zero if it does not
-	heard     bool      // data of the client was seen
-	end       uint32    // sequence number behind the data of the client
-	handed    time.Time // since when the backend server has the request; zero if it has none
-	held      *request  // that waits for a slot; nil if there is none
-	overdue   bool      // the backend server has not answered the opening packet in time
-	abandoned bool      // the client has closed the flow while its request waited
-	closing   [2]bool   // client, backend server
-}
-
-// isNew reports whether a packet has data that the client did not send before. A
-// repeated packet is no new request.
-func (h *held) isNew(header flow.Header) bool {
-	return header.Length > 0 && (!h.heard || int32(header.End()-h.end) > 0)
-}
-
-func (h *held) closed() bool { return h.closing[0] && h.closing[1] }
-
 // Config holds what is fixed for a Gate.
 type Config struct {
 	Service string // of the backend server beside the agent
@@ -300,47 +265,6 @@
 	}
 }
 
-// clientSent notes what a packet of the client does to its flow, and returns
-// whether it is delivered now.
-func (g *Gate) clientSent(now time.Time, key flow.Key, h *held, header flow.Header, packet []byte) Kind {
-	kind := Deliver
-
-	switch {
-	case header.Reset:
-		g.forget(key, h)
-
-		return Deliver
-	case h.abandoned:
-		return Drop
-	case h.held != nil && header.Close:
-		g.abandon(h)
-
-		kind = Drop
-	case h.held != nil && header.Length > 0:
-		h.held.keep(header.Sequence, packet)
-
-		kind = Hold
-	case h.isNew(header) && h.waiting.IsZero():
-		h.waiting = now
-		g.waiting++
-
-		kind = g.asks(now, key, h, header.Sequence, packet)
-	}
-
-	if h.isNew(header) {
-		h.heard, h.end = true, header.End()
-	}
-
-	// A client that closes while its request runs does not want the answer any
-	// more, and the backend server may not give one.
-	if header.Close {
-		g.done(h)
-		g.closes(h, 0)
-	}
-
-	return kind
-}
-
 func (g *Gate) closes(h *held, end int) {
 	before := h.closed()
 	h.closing[end] = true
@@ -381,7 +305,7 @@
 		h.confirmed = true
 	}
 
-	if header.Length > 0 && !h.waiting.IsZero() && h.held == nil {
+	if header.Length > 0 && !h.waiting.IsZero() && h.request == nil {
 		g.answered(now, key, h)
 	}
 
@@ -399,20 +323,6 @@
 	return decision
 }
 
-// answered notes the first packet of an answer.
-func (g *Gate) answered(now time.Time, key flow.Key, h *held) {
-	g.observe(now.Sub(h.waiting))
-
-	if !h.handed.IsZero() {
-		g.queue.ran(key.Service, now.Sub(h.handed))
-		g.health.observe(now, false)
-	}
-
-	g.done(h)
-	h.waiting = time.Time{}
-	g.waiting--
-}
-
 // returned decides about a packet that the backend server does not want.
 func (g *Gate) returned(header flow.Header) Decision {
 	key := header.Key()
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -134,28 +134,10 @@
 }
 
 const (
-	endpointBytes = 6
-	keyBytes      = 2 * endpointBytes
-	loadBytes     = 5
-	idBytes       = 4
+	loadBytes = 5
+	idBytes   = 4
 )
 
-func appendEndpoint(buffer []byte, endpoint flow.Endpoint) []byte {
-	return binary.LittleEndian.AppendUint16(append(buffer, endpoint.IP[:]...), endpoint.Port)
-}
-
-func parseEndpoint(body []byte) flow.Endpoint {
-	return flow.Endpoint{IP: [4]byte(body[:4]), Port: binary.LittleEndian.Uint16(body[4:])}
-}
-
-func appendKey(buffer []byte, key flow.Key) []byte {
-	return appendEndpoint(appendEndpoint(buffer, key.Client), key.Service)
-}
-
-func parseKey(body []byte) flow.Key {
-	return flow.Key{Client: parseEndpoint(body), Service: parseEndpoint(body[endpointBytes:])}
-}
-
 func appendLoad(buffer []byte, load roster.Load) []byte {
 	buffer = binary.LittleEndian.AppendUint16(buffer, load.Flows)
 
@@ -190,16 +172,16 @@
 
 // Append appends the message to the buffer.
 func (a Accepted) Append(buffer []byte) []byte {
-	return appendLoad(appendKey(append(buffer, byte(KindAccepted)), a.Key), a.Load)
+	return appendLoad(a.Key.Append(append(buffer, byte(KindAccepted))), a.Load)
 }
 
 // ParseAccepted reads the body of an Accepted.
 func ParseAccepted(body []byte) (Accepted, error) {
-	if err := need("parse accepted", body, keyBytes+loadBytes); err != nil {
+	if err := need("parse accepted", body, flow.KeyBytes+loadBytes); err != nil {
 		return Accepted{}, err
 	}
 
-	return Accepted{Key: parseKey(body), Load: parseLoad(body[keyBytes:])}, nil
+	return Accepted{Key: flow.ParseKey(body), Load: parseLoad(body[flow.KeyBytes:])}, nil
 }
 
 // Returned gives a packet back that the sender cannot deliver. Packet is as the
@@ -228,16 +210,16 @@
 
 // Append appends the message to the buffer.
 func (f Found) Append(buffer []byte) []byte {
-	return appendKey(append(buffer, byte(KindFound)), f.Key)
+	return f.Key.Append(append(buffer, byte(KindFound)))
 }
 
 // ParseFound reads the body of a Found.
 func ParseFound(body []byte) (Found, error) {
-	if err := need("parse found", body, keyBytes); err != nil {
+	if err := need("parse found", body, flow.KeyBytes); err != nil {
 		return Found{}, err
 	}
 
-	return Found{Key: parseKey(body)}, nil
+	return Found{Key: flow.ParseKey(body)}, nil
 }
 
 // Checkpointed tells an agent which of its flows a controller knows.
@@ -261,7 +243,7 @@
 func (l Locate) Append(buffer []byte) []byte {
 	buffer = binary.LittleEndian.AppendUint32(append(buffer, byte(KindLocate)), l.ID)
 	for _, key := range l.Keys {
-		buffer = appendKey(buffer, key)
+		buffer = key.Append(buffer)
 	}
 
 	return buffer
@@ -269,13 +251,13 @@
 
 // ParseLocate reads the body of a Locate.
 func ParseLocate(body []byte) (Locate, error) {
-	if err := need("parse locate", body, idBytes+keyBytes); err != nil {
+	if err := need("parse locate", body, idBytes+flow.KeyBytes); err != nil {
 		return Locate{}, err
 	}
 
 	locate := Locate{ID: binary.LittleEndian.Uint32(body)}
-	for body = body[idBytes:]; len(body) >= keyBytes; body = body[keyBytes:] {
-		locate.Keys = append(locate.Keys, parseKey(body))
+	for body = body[idBytes:]; len(body) >= flow.KeyBytes; body = body[flow.KeyBytes:] {
+		locate.Keys = append(locate.Keys, flow.ParseKey(body))
 	}
 
 	return locate, nil
--- a/internal/state/checkpoint/checkpoint.go
+++ b/internal/state/checkpoint/checkpoint.go
@@ -72,10 +72,8 @@
 }
 
 const (
-	endpointBytes = 6
-	keyBytes      = 2 * endpointBytes
-	flowBytes     = keyBytes + 4
-	headBytes     = endpointBytes + 4*8 + 2*4
+	flowBytes = flow.KeyBytes + 4
+	headBytes = flow.EndpointBytes + 4*8 + 2*4
 
 	// maxFlows bounds the flows of a batch: an agent's backend server holds a
 	// few thousand.
@@ -84,7 +82,7 @@
 
 // Append appends the encoded batch to the buffer.
 func (b Batch) Append(buffer []byte) []byte {
-	buffer = appendEndpoint(buffer, b.Agent)
+	buffer = b.Agent.Append(buffer)
 	buffer = binary.LittleEndian.AppendUint64(buffer, uint64(b.Born))
 	buffer = binary.LittleEndian.AppendUint64(buffer, b.Epoch)
 	buffer = binary.LittleEndian.AppendUint64(buffer, b.From)
@@ -93,11 +91,11 @@
 	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(b.Closed)))
 
 	for _, opened := range b.Opened {
-		buffer = binary.LittleEndian.AppendUint32(appendKey(buffer, opened.Key), opened.Acknowledged)
+		buffer = binary.LittleEndian.AppendUint32(opened.Key.Append(buffer), opened.Acknowledged)
 	}
 
 	for _, closed := range b.Closed {
-		buffer = appendKey(buffer, closed)
+		buffer = closed.Append(buffer)
 	}
 
 	return buffer
@@ -109,57 +107,35 @@
 		return Batch{}, nil, newError("parse", KindMalformed, fmt.Errorf("%d bytes are no batch", len(encoded)))
 	}
 
-	batch.Agent, encoded = takeEndpoint(encoded)
+	batch.Agent = flow.ParseEndpoint(encoded)
+	encoded = encoded[flow.EndpointBytes:]
 	batch.Born = int64(binary.LittleEndian.Uint64(encoded))
 	batch.Epoch = binary.LittleEndian.Uint64(encoded[8:])
 	batch.From = binary.LittleEndian.Uint64(encoded[16:])
 	batch.To = binary.LittleEndian.Uint64(encoded[24:])
 	opened, closed := binary.LittleEndian.Uint32(encoded[32:]), binary.LittleEndian.Uint32(encoded[36:])
-	encoded = encoded[headBytes-endpointBytes:]
+	encoded = encoded[headBytes-flow.EndpointBytes:]
 
-	if opened > maxFlows || closed > maxFlows || int(opened)*flowBytes+int(closed)*keyBytes > len(encoded) {
+	if opened > maxFlows || closed > maxFlows || int(opened)*flowBytes+int(closed)*flow.KeyBytes > len(encoded) {
 		return Batch{}, nil, newError("parse", KindMalformed,
 			fmt.Errorf("%d bytes do not hold %d and %d flows", len(encoded), opened, closed))
 	}
 
 	for range opened {
-		var entry Flow
-
-		entry.Key, encoded = takeKey(encoded)
-		entry.Acknowledged = binary.LittleEndian.Uint32(encoded)
-		encoded = encoded[4:]
-		batch.Opened = append(batch.Opened, entry)
+		batch.Opened = append(batch.Opened, Flow{
+			Key: flow.ParseKey(encoded), Acknowledged: binary.LittleEndian.Uint32(encoded[flow.KeyBytes:]),
+		})
+		encoded = encoded[flowBytes:]
 	}
 
 	for range closed {
-		var key flow.Key
-
-		key, encoded = takeKey(encoded)
-		batch.Closed = append(batch.Closed, key)
+		batch.Closed = append(batch.Closed, flow.ParseKey(encoded))
+		encoded = encoded[flow.KeyBytes:]
 	}
 
 	return batch, encoded, nil
 }
 
-func appendEndpoint(buffer []byte, endpoint flow.Endpoint) []byte {
-	return binary.LittleEndian.AppendUint16(append(buffer, endpoint.IP[:]...), endpoint.Port)
-}
-
-func takeEndpoint(encoded []byte) (flow.Endpoint, []byte) {
-	return flow.Endpoint{IP: [4]byte(encoded[:4]), Port: binary.LittleEndian.Uint16(encoded[4:])}, encoded[endpointBytes:]
-}
-
-func appendKey(buffer []byte, key flow.Key) []byte {
-	return appendEndpoint(appendEndpoint(buffer, key.Client), key.Service)
-}
-
-func takeKey(encoded []byte) (key flow.Key, rest []byte) {
-	key.Client, rest = takeEndpoint(encoded)
-	key.Service, rest = takeEndpoint(rest)
-
-	return key, rest
-}
-
 // Memory is what an agent knew of its flows before it started.
 type Memory struct {
 	Born  int64  // start of the backend server that held the flows
--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -33,3 +33,18 @@
 	is.Equal(request.Key(), reply.ReplyKey())
 	is.True(request.Key().Hash() != reply.Key().Hash())
 }
+
+// TestEncode guards against ends of a flow that are swapped or cut on the way
+// between processes.
+func TestEncode(t *testing.T) {
+	is := is.New(t)
+	key := flow.Key{
+		Client:  flow.Endpoint{IP: [4]byte{192, 0, 2, 1}, Port: 40_000},
+		Service: flow.Endpoint{IP: [4]byte{198, 51, 100, 1}, Port: 443},
+	}
+
+	encoded := key.Append(nil)
+	is.Equal(len(encoded), flow.KeyBytes)
+	is.Equal(flow.ParseKey(encoded), key)
+	is.Equal(len(key.Client.Append(nil)), flow.EndpointBytes)
+}
