--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -6,9 +6,11 @@
 //	g := gate.New(gate.Config{Service: service, Boot: now})
 //	g.Follow(table)
 //	outcome, err := g.Report(now, report)     // what the backend server says of itself
-//	decision := g.FromClient(now, forwarder, header)
+//	decision := g.FromClient(now, forwarder, header, packet)
 //	decision = g.FromBackend(now, header)
+//	started := g.Start(now)                   // requests that get a slot, after each packet
 //	answer := g.Locate(key)
+//	orphans, done := g.Recover(now, memory)   // flows of an earlier start of the agent
 //
 // # New flows
 //
@@ -25,6 +27,13 @@
 // that it has not seen: it delivers their packets, and the backend server
 // returns those of flows that it does not hold. A flow is reset only when the
 // backend server that held it has certainly ended.
+//
+// # Requests
+//
+// Services carry protocols of requests and answers, one at a time on a flow. New
+// data of the client is a request, and the next data of the backend server its
+// answer. As many requests as the backend server has slots are handed over; the
+// queue orders the others. How they end tells whether the backend server is well.
 package gate
 
 import (
