Let a client open a flow again after it has closed one that waited

Cause: read of the code, not a failure that was seen: a flow whose client closed it while its request waited kept dropping all packets, also those of a new flow between the same ends. Ruled out: the same after an ordinary close, which the backend server answers. Change: an opening packet starts anew. A comment of the queue says when its order matters. Before: TestLeft fails with the new case. After: it passes.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -215,6 +215,13 @@
 
 // opens decides about the first packet of a flow.
 func (g *Gate) opens(now time.Time, key flow.Key, h *held, forwarder flow.Endpoint) Decision {
+	// A client that opens again after it has closed uses the same ends for a new flow.
+	if h != nil && h.abandoned {
+		g.forget(key, h)
+
+		h = nil
+	}
+
 	if h != nil {
 		h.forwarder, h.last = forwarder, now
 
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -57,10 +57,10 @@
 
 // queue orders the requests that wait for a slot.
 //
-// It answers bursts, and the moment after a fault at which all clients repeat
-// what they have waited with. Then the backlog takes seconds, and in the order of
-// arrival each request would wait for all of it: every one would be late. So
-// requests that can still meet the aim of their route go first, and what is late
+// The order is made for bursts, and for the moment after a fault at which all
+// clients send again what they have waited with. The backlog then takes seconds,
+// and in the order of arrival each request would wait for all of it: every one
+// would be late. So requests that can still meet the aim of their route go first, and what is late
 // already takes the slots that are left. As long as anything is late, the newest
 // go first (adaptive LIFO: Maurer, "Fail at Scale", 2015), because those that
 // have waited longest would only just miss their aim. The request of a client
--- a/internal/coordination/gate/queue_test.go
+++ b/internal/coordination/gate/queue_test.go
@@ -171,6 +171,11 @@
 		s.is.Equal(s.fromClient(b, flow.Header{Acks: true, Length: 100}), gate.Drop) // repeated
 		s.is.Equal(s.gate.Counters().Abandoned, uint64(1))
 		s.is.Equal(s.gate.Load(s.now).Waiting, uint16(0))
+
+		// The client opens another flow from the same port.
+		s.is.Equal(s.fromClient(b, opens), gate.Deliver)
+		s.fromBackend(b, accepts)
+		s.is.Equal(s.fromClient(b, flow.Header{Acks: true, Sequence: 5000, Length: 100}), gate.Deliver)
 	})
 
 	t.Run("close while it runs", func(t *testing.T) {
