Let controllers call the instances that have polled before

Cause: an instance that starts knows its three seeds only. An instance whose seeds are lost would wait for good.

Ruled out: reading the log (2 ms), the election (documents do not wait for it).

Change: each controller remembers the instances that poll, on its disk, and calls those that fell silent, twice a second for 75 s, and at once when it starts. A follower learns a controller from its call.

--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -226,7 +226,7 @@
 
 	switch kind {
 	case wire.KindNews:
-		f.Poll()
+		f.called(from)
 	case wire.KindPollReply:
 		reply, err := wire.Decode[wire.PollReply](body)
 		if err != nil {
@@ -245,6 +245,18 @@
 	return true
 }
 
+// called handles a call of a controller, which may be one that the seeds do not
+// name.
+func (f *Follower) called(from netip.AddrPort) {
+	if controller, ok := flow.NewEndpoint(from); ok {
+		f.mutex.Lock()
+		f.learn([]flow.Endpoint{controller})
+		f.mutex.Unlock()
+	}
+
+	f.Poll()
+}
+
 // reply handles the answer of a controller.
 func (f *Follower) reply(now time.Time, from netip.AddrPort, reply wire.PollReply) {
 	f.mutex.Lock()
--- a/internal/program/registry/keeper.go
+++ b/internal/program/registry/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/checkpoint"
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/wal"
 	"jayspindle/internal/transport/frag"
 )
@@ -34,7 +36,7 @@
 	encoded []byte
 }
 
-// keeper remembers the flows of agents. It has a goroutine of its own, so that
+// keeper remembers the flows of agents, and the instances that poll. It has a goroutine of its own, so that
 // the replicated log does not wait for it.
 type keeper struct {
 	directory string
@@ -43,15 +45,16 @@
 	inbox     chan received
 	overflow  atomic.Uint64 // batches dropped because the disk was too slow
 
-	mutex sync.Mutex // guards what is below
-	store *checkpoint.Store
-	file  *checkpoint.File // nil until the directory could be read
+	mutex    sync.Mutex // guards what is below
+	store    *checkpoint.Store
+	file     *checkpoint.File // nil until the directory could be read
+	contacts *contacts
 }
 
 func newKeeper(directory string, conn *frag.Conn, logger *slog.Logger) *keeper {
 	return &keeper{
 		directory: directory, conn: conn, logger: logger, inbox: make(chan received, keeperInbox),
-		store: checkpoint.NewStore(),
+		store: checkpoint.NewStore(), contacts: newContacts(),
 	}
 }
 
@@ -83,6 +86,21 @@
 		if k.file != nil {
 			k.write(time.Now())
 		}
+
+		k.call(time.Now())
+	}
+}
+
+// call tells the instances that fell silent that this controller is there.
+func (k *keeper) call(now time.Time) {
+	k.mutex.Lock()
+	silent := k.contacts.silent(now)
+	k.mutex.Unlock()
+
+	for _, instance := range silent {
+		if err := k.conn.Send(instance.AddrPort(), []byte{byte(wire.KindNews)}); err != nil {
+			k.logger.Debug("a call did not leave", "to", instance.String(), "error", err)
+		}
 	}
 }
 
@@ -97,12 +115,19 @@
 		return
 	}
 
-	k.logger.Info("read the checkpoints", "bytes", store.Bytes())
+	instances, err := readContacts(wal.WithoutModes(), filepath.Join(k.directory, contactsFile))
+	if err != nil {
+		k.logger.Warn("the instances that have polled before are not known", "error", err)
+	}
 
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.logger.Info("read the checkpoints", "bytes", store.Bytes(), "instances", len(instances)/flow.EndpointBytes)
 
+	k.mutex.Lock()
 	k.store, k.file = store, file
+	k.contacts.restore(now, instances)
+	k.mutex.Unlock()
+
+	k.call(now)
 }
 
 // receive takes a batch of an agent.
@@ -143,9 +168,15 @@
 	}
 
 	oversized := k.file.Oversized(k.store)
+	instances, changed := k.contacts.unsaved(now)
 	k.mutex.Unlock()
 
-	if err := k.save(batches, oversized); err != nil {
+	err := k.save(batches, oversized)
+	if err == nil && changed {
+		err = k.saveContacts(instances)
+	}
+
+	if err != nil {
 		k.logger.Warn("checkpoints were not written", "error", err)
 		k.drop()
 
@@ -173,6 +204,15 @@
 	return k.file.Append(batches)
 }
 
+func (k *keeper) saveContacts(instances []byte) error {
+	framed, err := wal.AppendFrame(nil, 0, instances)
+	if err != nil {
+		return err
+	}
+
+	return wal.Replace(wal.WithoutModes(), k.directory, contactsFile, framed)
+}
+
 // drop forgets everything until the disk can be used again.
 func (k *keeper) drop() {
 	k.mutex.Lock()
@@ -183,6 +223,7 @@
 	}
 
 	k.file = nil
+	k.contacts.changed = true
 	k.store.Flush()
 }
 
@@ -213,12 +254,21 @@
 	return k.conn.Send(from, append([]byte{byte(wire.KindRecalled)}, k.store.Recall(asked.Agent)...))
 }
 
-// heard notes that an agent polls.
-func (k *keeper) heard(now time.Time, agent flow.Endpoint) {
+// heard notes that an instance polls, which is an agent if it has a record.
+func (k *keeper) heard(now time.Time, from netip.AddrPort, agent *roster.Record) {
+	instance, ok := flow.NewEndpoint(from)
+	if !ok {
+		return
+	}
+
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	k.store.Touch(now, agent)
+	k.contacts.hear(now, instance)
+
+	if agent != nil {
+		k.store.Touch(now, agent.Address)
+	}
 }
 
 // bytes returns the size of the checkpoints.
--- a/internal/program/registry/keeper_test.go
+++ b/internal/program/registry/keeper_test.go
@@ -113,3 +113,34 @@
 		})
 	})
 }
+
+// TestCall guards against instances that wait for their seeds although another
+// controller is there: after a restart a controller calls those that polled before.
+func TestCall(t *testing.T) {
+	c := newControllers(t)
+	c.found(1)
+
+	instance := newCorrespondent(t, c.address(99).AddrPort())
+	poll, err := wire.Encode(wire.KindPoll, wire.Poll{})
+	c.is.NoErr(err)
+
+	c.eventually("the poll is answered", func() bool {
+		return instance.send(c.address(1), poll, wire.KindPollReply) != nil
+	})
+	time.Sleep(1500 * time.Millisecond) // until the controller has written it down
+	c.kill(1)
+
+	instance.mutex.Lock()
+	clear(instance.answers)
+	instance.mutex.Unlock()
+
+	c.start(1, "1", false)
+	c.eventually("the controller calls", func() bool {
+		instance.mutex.Lock()
+		defer instance.mutex.Unlock()
+
+		_, called := instance.answers[wire.KindNews]
+
+		return called
+	})
+}
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -84,6 +84,8 @@
 		r.pollers[from] = known
 	}
 
+	r.keeper.heard(now, from, poll.Agent)
+
 	known.heard, known.version = now, poll.Version
 	known.follows = known.follows || poll.Follows
 
@@ -94,8 +96,6 @@
 	record := *poll.Agent
 	record.Boot = poll.Boot
 
-	r.keeper.heard(now, record.Address)
-
 	before := r.list.Position()
 	urgent := r.list.Announce(now, record, poll.Sequence)
 
--- a/internal/state/checkpoint/file.go
+++ b/internal/state/checkpoint/file.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	fileName      = "flows"
-	temporaryName = "flows.new"
+	fileName = "flows"
 
 	// fileSlack and fileGrowth bound the file beyond what the store holds,
 	// before it is written anew.
@@ -126,10 +125,6 @@
 		return err
 	}
 
-	if err := f.files.Remove(f.path(temporaryName)); err != nil {
-		return err
-	}
-
 	var (
 		contents []byte
 		err      error
@@ -141,25 +136,14 @@
 		}
 	}
 
-	if f.open, err = f.files.Append(f.path(temporaryName)); err != nil {
-		return err
-	}
-
-	if _, err := f.open.Write(contents); err != nil {
-		return err
-	}
-
-	if err := f.open.Sync(); err != nil {
-		return err
-	}
-
-	if err := f.files.Rename(f.path(temporaryName), f.path(fileName)); err != nil {
+	if err := wal.Replace(f.files, f.directory, fileName, contents); err != nil {
 		return err
 	}
 
 	f.size = int64(len(contents))
+	f.open, err = f.files.Append(f.path(fileName))
 
-	return f.files.SyncDirectory(f.directory)
+	return err
 }
 
 // Close closes the file.
--- a/internal/state/wal/frame.go
+++ b/internal/state/wal/frame.go
@@ -1,5 +1,10 @@
 package wal
 
+import (
+	"errors"
+	"path/filepath"
+)
+
 // AppendFrame appends a payload with a header that lets NextFrame tell a whole
 // frame from one that a crash has torn. The offset is the place of the frame in
 // its file.
@@ -22,3 +27,38 @@
 
 	return payload, offset + length, nil
 }
+
+// Replace writes a file under a temporary name, syncs it, renames it and syncs
+// the directory, so that the name never refers to a partial file.
+func Replace(files Files, directory, name string, data []byte) error {
+	target := filepath.Join(directory, name)
+	temporary := target + temporarySuffix
+
+	if err := files.Remove(temporary); err != nil {
+		return newError("replace", KindFiles, temporary, 0, err)
+	}
+
+	file, err := files.Append(temporary)
+	if err != nil {
+		return newError("replace", KindFiles, temporary, 0, err)
+	}
+
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+
+	if err := errors.Join(err, file.Close()); err != nil {
+		return newError("replace", KindFiles, temporary, 0, err)
+	}
+
+	if err := files.Rename(temporary, target); err != nil {
+		return newError("replace", KindFiles, target, 0, err)
+	}
+
+	if err := files.SyncDirectory(directory); err != nil {
+		return newError("replace", KindFiles, directory, 0, err)
+	}
+
+	return nil
+}
