Call remembered instances often after the start of a controller

Ruled out: more calls all the time, which would cost the controllers for each instance that is gone for good.

Change: for 3 s after its start a controller calls every 100 ms, later every second.

--- a/internal/program/registry/contacts.go
+++ b/internal/program/registry/contacts.go
@@ -17,7 +17,14 @@
 	silentContact = time.Second
 
 	// callInterval is how often a silent instance is called.
-	callInterval = 500 * time.Millisecond
+	callInterval = time.Second
+
+	// eagerCalls is the same for a while after the controller has started: after
+	// the loss of all instances they start within half a second of each other.
+	eagerCalls = 100 * time.Millisecond
+
+	// eagerTime is that while.
+	eagerTime = 3 * time.Second
 
 	// forgetContact is when a silent instance is given up.
 	forgetContact = 75 * time.Second
@@ -40,6 +47,7 @@
 	known   map[flow.Endpoint]*contact
 	changed bool // since the last save
 	saved   time.Time
+	eager   time.Time // until when instances are called often
 }
 
 func newContacts() *contacts { return &contacts{known: make(map[flow.Endpoint]*contact)} }
@@ -60,13 +68,18 @@
 func (c *contacts) silent(now time.Time) []flow.Endpoint {
 	var found []flow.Endpoint
 
+	interval := callInterval
+	if now.Before(c.eager) {
+		interval = eagerCalls
+	}
+
 	for instance, known := range c.known {
 		switch silence := now.Sub(known.heard); {
 		case silence > forgetContact:
 			delete(c.known, instance)
 
 			c.changed = true
-		case silence > silentContact && now.Sub(known.called) >= callInterval:
+		case silence > silentContact && now.Sub(known.called) >= interval:
 			known.called = now
 			found = append(found, instance)
 		}
@@ -91,8 +104,10 @@
 	return encoded, true
 }
 
-// restore adds the instances of a file. They are called at once.
+// restore adds the instances of a file. They are called at once, and often.
 func (c *contacts) restore(now time.Time, encoded []byte) {
+	c.eager = now.Add(eagerTime)
+
 	for ; len(encoded) >= flow.EndpointBytes; encoded = encoded[flow.EndpointBytes:] {
 		instance := flow.ParseEndpoint(encoded)
 		if c.known[instance] == nil {
--- a/internal/program/registry/contacts_internal_test.go
+++ b/internal/program/registry/contacts_internal_test.go
@@ -55,4 +55,11 @@
 	restarted.restore(begin, saved)
 	is.Equal(restarted.silent(begin), []flow.Endpoint{first}) // the other one has polled already
 	is.Equal(len(restarted.known), 2)
+
+	// It may start after the controller. The other one goes on polling.
+	late := begin.Add(eagerTime)
+	restarted.hear(late, other)
+	is.Equal(restarted.silent(begin.Add(eagerCalls)), []flow.Endpoint{first})
+	is.Equal(restarted.silent(late), []flow.Endpoint{first})
+	is.Equal(len(restarted.silent(late.Add(callInterval-1))), 0)
 }
