--- a/internal/program/registry/keeper.go
+++ b/internal/program/registry/keeper.go
@@ -36,8 +36,8 @@
 	encoded []byte
 }
 
-// keeper remembers the flows of agents, and the instances that poll. It has a goroutine of its own, so that
-// the replicated log does not wait for it.
+// keeper remembers the flows of agents, and the instances that poll. It has a
+// goroutine of its own, so that the replicated log does not wait for it.
 type keeper struct {
 	directory string
 	conn      *frag.Conn
