Replace files in one place and keep one type of acknowledgement

Cause: the last read of the change. wal.Replace repeated Log.replaceFile, without its check for a write that was cut short, and checkpoints lacked the check too. Two packages each had their own way to read a file that may be missing. wire.Checkpointed had the fields of checkpoint.Acknowledgement.

Ruled out: a special case for short writes in checkpoints; the log already had the mechanism.

Change: Log.replaceFile calls Replace; WriteSync and ReadIfExists serve the log, checkpoints and contacts; the acknowledgement is encoded as it is.

Before: a short write without an error would have counted as durable in checkpoints (not seen). After: an error; the log behaves as before. The tests of the log, checkpoints, controllers and agents pass under the race detector.

--- a/internal/program/registry/contacts.go
+++ b/internal/program/registry/contacts.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"errors"
-	"io/fs"
 	"time"
 
 	"jayspindle/internal/state/flow"
@@ -119,12 +117,8 @@
 // readContacts reads the file. One that is missing or torn is like an empty one:
 // it is written anew as instances poll.
 func readContacts(files wal.Files, path string) ([]byte, error) {
-	data, err := files.Read(path)
-	if err != nil {
-		if errors.Is(err, fs.ErrNotExist) {
-			return nil, nil
-		}
-
+	data, err := wal.ReadIfExists(files, path)
+	if err != nil || len(data) == 0 {
 		return nil, err
 	}
 
--- a/internal/program/registry/keeper.go
+++ b/internal/program/registry/keeper.go
@@ -143,7 +143,7 @@
 func (k *keeper) write(now time.Time) {
 	var (
 		batches []byte
-		replies = make(map[netip.AddrPort]wire.Checkpointed)
+		replies = make(map[netip.AddrPort]checkpoint.Acknowledgement)
 	)
 
 	k.mutex.Lock()
@@ -164,7 +164,7 @@
 			batches = append(batches, arrived.encoded...)
 		}
 
-		replies[arrived.from] = wire.Checkpointed{Epoch: ack.Epoch, Position: ack.Position}
+		replies[arrived.from] = ack
 	}
 
 	oversized := k.file.Oversized(k.store)
--- a/internal/program/registry/keeper_test.go
+++ b/internal/program/registry/keeper_test.go
@@ -77,10 +77,10 @@
 			return false
 		}
 
-		acknowledged, err := wire.Decode[wire.Checkpointed](answer)
+		acknowledged, err := wire.Decode[checkpoint.Acknowledgement](answer)
 		c.is.NoErr(err)
 
-		return acknowledged == wire.Checkpointed{Epoch: 6, Position: 7}
+		return acknowledged == checkpoint.Acknowledgement{Epoch: 6, Position: 7}
 	})
 
 	c.kill(1)
--- a/internal/program/sidecar/keeper.go
+++ b/internal/program/sidecar/keeper.go
@@ -174,7 +174,7 @@
 
 	switch kind {
 	case wire.KindCheckpointed:
-		acknowledged, err := wire.Decode[wire.Checkpointed](body)
+		acknowledged, err := wire.Decode[checkpoint.Acknowledgement](body)
 		if err != nil {
 			k.logger.Warn("dropped a message", "from", from, "error", err)
 
@@ -182,9 +182,7 @@
 		}
 
 		k.mutex.Lock()
-		k.tracker.Acknowledge(controller, checkpoint.Acknowledgement{
-			Epoch: acknowledged.Epoch, Position: acknowledged.Position,
-		})
+		k.tracker.Acknowledge(controller, acknowledged)
 		k.mutex.Unlock()
 	case wire.KindRecalled:
 		k.recalled(controller, body)
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -222,12 +222,6 @@
 	return Found{Key: flow.ParseKey(body)}, nil
 }
 
-// Checkpointed tells an agent which of its flows a controller knows.
-type Checkpointed struct {
-	Epoch    uint64 `cbor:"1,keyasint"` // start of the agent that the position belongs to
-	Position uint64 `cbor:"2,keyasint"`
-}
-
 // Recall asks a controller for the flows of the sender before it started.
 type Recall struct {
 	Agent flow.Endpoint `cbor:"1,keyasint"` // receives the packets of clients
--- a/internal/state/checkpoint/file.go
+++ b/internal/state/checkpoint/file.go
@@ -35,23 +35,12 @@
 
 	f := &File{files: files, directory: directory}
 
-	names, err := files.List(directory)
+	data, err := wal.ReadIfExists(files, f.path(fileName))
 	if err != nil {
 		return nil, newError("open", KindFile, err)
 	}
 
-	for _, name := range names {
-		if name != fileName {
-			continue
-		}
-
-		data, err := files.Read(f.path(fileName))
-		if err != nil {
-			return nil, newError("open", KindFile, err)
-		}
-
-		load(now, data, store)
-	}
+	load(now, data, store)
 
 	// The file is written anew, so that nothing follows a torn frame.
 	if err := f.Rewrite(store); err != nil {
@@ -93,11 +82,7 @@
 		return newError("append", KindFile, err)
 	}
 
-	if _, err := f.open.Write(framed); err != nil {
-		return newError("append", KindFile, err)
-	}
-
-	if err := f.open.Sync(); err != nil {
+	if err := wal.WriteSync(f.open, framed); err != nil {
 		return newError("append", KindFile, err)
 	}
 
--- a/internal/state/checkpoint/store.go
+++ b/internal/state/checkpoint/store.go
@@ -49,8 +49,8 @@
 
 // Acknowledgement tells an agent what a store has of it.
 type Acknowledgement struct {
-	Epoch    uint64 // start of the agent that the position belongs to
-	Position uint64 // the agent may go on from here; 0 if it has to send all flows
+	Epoch    uint64 `cbor:"1,keyasint"` // start of the agent that the position belongs to
+	Position uint64 `cbor:"2,keyasint"` // the agent may go on from here; 0 if it has to send all flows
 }
 
 // Apply keeps a batch if it continues what is kept. Encoded is the batch as it
--- a/internal/state/wal/frame.go
+++ b/internal/state/wal/frame.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"io/fs"
 	"path/filepath"
 )
 
@@ -43,12 +45,7 @@
 		return newError("replace", KindFiles, temporary, 0, err)
 	}
 
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-
-	if err := errors.Join(err, file.Close()); err != nil {
+	if err := errors.Join(WriteSync(file, data), file.Close()); err != nil {
 		return newError("replace", KindFiles, temporary, 0, err)
 	}
 
@@ -62,3 +59,28 @@
 
 	return nil
 }
+
+// WriteSync writes data and syncs the file. A write that was cut short is an
+// error, whatever the file says.
+func WriteSync(file File, data []byte) error {
+	written, err := file.Write(data)
+
+	switch {
+	case err != nil:
+		return err
+	case written < len(data):
+		return io.ErrShortWrite
+	}
+
+	return file.Sync()
+}
+
+// ReadIfExists returns the contents of a file, none if it does not exist.
+func ReadIfExists(files Files, name string) ([]byte, error) {
+	data, err := files.Read(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+
+	return data, err
+}
--- a/internal/state/wal/snapshot.go
+++ b/internal/state/wal/snapshot.go
@@ -1,8 +1,8 @@
 package wal
 
 import (
-	"errors"
 	"fmt"
+	"path/filepath"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -139,31 +139,11 @@
 	return nil
 }
 
-// replaceFile writes a file under a temporary name, syncs it, renames it and
-// syncs the directory, so that the name never refers to a partial file.
+// replaceFile replaces a file of the directory. A failure ends the log.
 func (l *Log) replaceFile(name string, data []byte) error {
-	temporary := name + temporarySuffix
-
-	if err := l.files.Remove(temporary); err != nil {
-		return l.fail("replace", temporary, err)
-	}
-
-	file, err := l.files.Append(temporary)
-	if err != nil {
-		return l.fail("replace", temporary, err)
-	}
-
-	if err := errors.Join(l.write(file, temporary, data), file.Close()); err != nil {
-		return l.fail("replace", temporary, err)
-	}
-
-	if err := l.files.Rename(temporary, name); err != nil {
+	if err := Replace(l.files, l.directory, filepath.Base(name), data); err != nil {
 		return l.fail("replace", name, err)
 	}
 
-	if err := l.files.SyncDirectory(l.directory); err != nil {
-		return l.fail("replace", l.directory, err)
-	}
-
 	return nil
 }
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -226,16 +226,7 @@
 
 // write appends data to a file and syncs it. A failure is final.
 func (l *Log) write(file File, name string, data []byte) error {
-	written, err := file.Write(data)
-	if err == nil && written < len(data) {
-		err = io.ErrShortWrite
-	}
-
-	if err == nil {
-		err = file.Sync()
-	}
-
-	if err != nil {
+	if err := WriteSync(file, data); err != nil {
 		return l.fail("write", name, err)
 	}
 
