Fix a data race at the end of a stream, and a nil view in a test

Cause: copyEvents closes the body of a feed while its reader may wait in link.Stream.Next, and Close wrote a field that Next reads. TestAgentMembership read the view of a subscriber before the first one had arrived.

Ruled out: an error of the feed's own goroutines. The reader has to be interrupted by Close, because it may wait for a sibling for minutes; so Close beside Next is a use that link.Stream has to allow.

Change: the field is atomic, and an error that Close caused neither counts as a failure of the server nor closes the stream again. The test asks for the agents of the newest view, none before the first.

--- a/internal/program/controller/controller_test.go
+++ b/internal/program/controller/controller_test.go
@@ -35,6 +35,15 @@
 	return 0
 }
 
+// agents returns the agents of the newest view, none before the first view.
+func (r *viewRecorder) agents() []view.Agent {
+	if current := r.current.Load(); current != nil {
+		return current.Agents()
+	}
+
+	return nil
+}
+
 // subscribe subscribes to the trial views of one controller.
 func (g *testGroup) subscribe(target *instance) *viewRecorder {
 	g.t.Helper()
@@ -238,7 +247,7 @@
 	again, err := agent.Announce(g.ctx, announce)
 	is.NoErr(err)
 	is.Equal(first.Incarnation, again.Incarnation)
-	g.eventually("the agent is in the view", func() bool { return len(subscriber.current.Load().Agents()) == 1 })
+	g.eventually("the agent is in the view", func() bool { return len(subscriber.agents()) == 1 })
 
 	forged := announce
 	forged.Zone = "yahata"
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -280,6 +280,48 @@
 	is.NoErr(n.ctx.Err()) // the caller ended the stream, not the timeout of the test
 }
 
+// Guards against a data race, and against an abandoned connection, when a stream
+// is closed while another goroutine waits for its next item.
+func TestCloseDuringNext(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t)
+	server, _ := n.serve("c1", func(s *link.Server) {
+		s.HandleStream("endless", func(ctx context.Context, _ *link.Request, send func(any) error) error {
+			err := send(message{Text: "item"})
+			<-ctx.Done()
+
+			return err
+		})
+	})
+	client := n.dial("operator", server.Address())
+
+	for range 20 {
+		stream, err := client.Stream(n.ctx, "endless", message{})
+		is.NoErr(err)
+
+		var item message
+
+		_, err = stream.Next(&item)
+		is.NoErr(err)
+
+		waiting, done := make(chan struct{}), make(chan bool)
+
+		go func() {
+			close(waiting)
+
+			more, _ := stream.Next(&item)
+			done <- more
+		}()
+
+		<-waiting
+		stream.Close()
+		is.True(!<-done)
+	}
+
+	_, _, connected := client.Connected()
+	is.True(connected)
+}
+
 // Guards against a graceful shutdown that aborts a call in progress.
 func TestGracefulClose(t *testing.T) {
 	is := is.New(t)
--- a/internal/transport/link/session.go
+++ b/internal/transport/link/session.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -221,25 +222,29 @@
 	return decode(result.Body, reply)
 }
 
-// Stream is the client's side of a server stream. Next and Close must not be
-// called concurrently.
+// Stream is the client's side of a server stream. Close may be called while Next
+// waits, which then returns; Next itself has one caller at a time.
 type Stream struct {
 	client     *Client
 	session    *session
 	callStream *callStream
 	ctx        context.Context //nolint:containedctx // the context bounds the whole stream
-	ended      bool
+	ended      atomic.Bool
 }
 
 // Next waits for the next item and decodes it into item. It returns false after
 // the last one.
 func (s *Stream) Next(item any) (bool, error) {
-	if s.ended {
+	if s.ended.Load() {
 		return false, nil
 	}
 
 	result, err := s.callStream.next(s.ctx)
 	if err != nil {
+		if s.ended.Load() {
+			return false, err // Close interrupted the read, the server has not failed
+		}
+
 		s.Close()
 
 		return false, s.client.handleFailure(s.ctx, s.session, err)
@@ -259,6 +264,6 @@
 
 // Close cancels the stream at both ends.
 func (s *Stream) Close() {
-	s.ended = true
+	s.ended.Store(true)
 	s.callStream.close()
 }
