Carry the claims of a lost agent to the agents in force

Cause of the red TestLossOfAgents: a claim needs a majority of the holders of every membership of the last 20 minutes. Two losses within that time add up, even if the first one was repaired long before the second. If both agents were the only ones of their availability zones, two of three holders of every key were gone, and all pass reports ended as "not run: too few holders answer".

Ruled out: five holders in place of three. With four agents a majority of four is three, so two losses block it as well, and builds with three and five holders could both get their majorities. Moving the seat of the lost agent to a sibling: the lost agent may only be paused, and would then answer for the same seat.

Change: after a loss, all members of the membership in force seal their seats, send their claims to its holders, and tell each other that earlier memberships need not be asked. The package comment of claim gives the argument.

TestLossOfZonesInTurn (new) loses just these two agents.

--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -82,6 +82,8 @@
 	execution    Execution
 	history      *History
 	holderSets   [][]view.Incarnation // that of the oldest membership first
+	upToSeal     int                  // how many of holderSets come up to the newest seal
+	sealed       view.Position        // of the newest seal that holderSets include
 	seatStates   map[view.Incarnation]*seatState
 	seatOrder    []view.Incarnation
 	decision     Decision
@@ -105,9 +107,19 @@
 		return c
 	}
 
-	c.holderSets = history.HolderSets(now, key)
+	c.computeSets(now)
 
-	for _, set := range c.holderSets {
+	return c
+}
+
+func (c *Claimant) computeSets(now time.Time) {
+	c.sealed = c.history.sealed
+	c.holderSets, c.upToSeal = c.history.holderSets(now, c.key)
+	c.addSeats(c.holderSets)
+}
+
+func (c *Claimant) addSeats(sets [][]view.Incarnation) {
+	for _, set := range sets {
 		for _, seat := range set {
 			if c.seatStates[seat] == nil {
 				c.seatStates[seat] = &seatState{}
@@ -115,8 +127,6 @@
 			}
 		}
 	}
-
-	return c
 }
 
 // Decision returns the decision. Its verdict is Pending until the claim is decided.
@@ -133,7 +143,7 @@
 		return nil
 	}
 
-	request := Request{Verb: Grant, Key: c.key, Execution: c.execution}
+	request := Request{Verb: Grant, Key: c.key, Execution: c.execution, Sealed: c.sealed}
 
 	switch {
 	case c.finalRequest != nil:
@@ -233,6 +243,12 @@
 		return
 	}
 
+	if reply.Status == Sealed {
+		c.includeSeal(now, *reply.Seal)
+
+		return
+	}
+
 	// Replies to copies of a request may arrive out of order. A Granted status
 	// stays, because a grant ends only by Release or expiry, and neither can
 	// happen before the decision.
@@ -250,6 +266,17 @@
 	c.evaluate(now)
 }
 
+// includeSeal extends the claim to the membership of a seal, and asks again.
+func (c *Claimant) includeSeal(now time.Time, seal Seal) {
+	if !c.sealed.Less(seal.Position) {
+		return
+	}
+
+	c.history.LearnSeal(now, seal)
+	c.computeSets(now)
+	c.nextSendAt = now
+}
+
 // Tick decides a claim that has reached ClaimTimeout.
 func (c *Claimant) Tick(now time.Time) {
 	if c.decision.Verdict == Pending && now.Sub(c.startedAt) >= ClaimTimeout {
@@ -281,6 +308,8 @@
 	invariant.Assert(c.handedOver, "claim: only a request that was handed over completes",
 		slog.String("key", c.key.Token))
 
+	// The claim may have been carried to the holders of a later membership.
+	c.addSeats(c.history.HolderSets(now, c.key))
 	c.startFinalRequest(now, Request{Verb: Complete, Key: c.key, Execution: c.execution, Answer: answer})
 }
 
@@ -372,12 +401,12 @@
 
 // noneRanBefore reports whether no earlier execution can have run. Every
 // execution that the holders still have on record needed a majority of the
-// oldest membership in the window, so a majority without a claim in that
-// membership rules all of them out.
+// oldest membership in the window, or of one with a seal if it knew a closing. A
+// majority without a claim in all of these memberships rules all of them out.
 func (c *Claimant) noneRanBefore() bool {
-	oldest := c.holderSets[0]
-
-	return c.count(oldest, Granted, Full) >= majority(oldest)
+	return !slices.ContainsFunc(c.holderSets[:c.upToSeal], func(set []view.Incarnation) bool {
+		return c.count(set, Granted, Full) < majority(set)
+	})
 }
 
 func (c *Claimant) notRunReason() Reason {
--- a/internal/coordination/claim/claimant_test.go
+++ b/internal/coordination/claim/claimant_test.go
@@ -237,7 +237,7 @@
 			stores := make([]*holder, 3)
 
 			for i := range stores {
-				stores[i] = &holder{Store: claim.NewStore(view.Incarnation(i+1), retention, 10), is: is}
+				stores[i] = &holder{Store: claim.NewStore(view.Incarnation(i+1), retention, maxUnconfirmed, 10), is: is}
 
 				for _, verb := range []claim.Verb{claim.Grant, claim.Complete} {
 					if i < granted && (verb == claim.Grant || completed) {
--- a/internal/coordination/claim/doc.go
+++ b/internal/coordination/claim/doc.go
@@ -44,9 +44,25 @@
 //   - messages are lost, late, duplicated or reordered;
 //   - any claimant fails at any time.
 //
-// If two of 3 holders of one membership fail without notice, no claim on their
-// keys succeeds until that membership has left the window. The verdict is then
-// Unknown, never a second run.
+// If two of 3 holders of one membership fail without notice at the same time, no
+// claim on their keys succeeds until that membership has left the window. The
+// verdict is then Unknown, never a second run.
+//
+// # Losses one after the other
+//
+// After a loss, the memberships before the one in force are closed, so that the
+// next loss does not add up with it. All members of the membership in force seal
+// their seats (History.AcceptSeal, Store.Seal): a sealed seat grants a free key only
+// to a claimant that also asks the holders in this membership, and tells others
+// about it (Sealed). Then each member sends its claims to these holders (Carry,
+// Adopt). Every execution that runs under an earlier membership has a grant of a
+// sealed seat, from before the seal, so these holders know it. Once all claims have
+// arrived, the Closing tells claimants that the earlier memberships need not be
+// asked for keys of which the sealed seats were a majority of the holders.
+//
+// A closing may be abandoned at any point, and several agents may run one at once.
+// A claimant that knows a seal says NotRun only if no holder up to the seal rules it
+// out, because it may not know the closing that an earlier claimant has used.
 //
 // The guarantee does not survive the loss of all agents of a service at once,
 // because claims are kept in memory. It relies on three conditions: the clocks of
--- a/internal/coordination/claim/history.go
+++ b/internal/coordination/claim/history.go
@@ -22,9 +22,10 @@
 
 // membership is the set of active agents of the service in a range of views.
 type membership struct {
-	position   view.Position // of the first view with these members
+	position   view.Position // of the first view with these members, or of a later seal
 	members    []Member      // in ascending order of incarnation
-	replacedAt time.Time     // zero while in force
+	observedAt time.Time
+	replacedAt time.Time // zero while in force
 }
 
 // History holds the memberships of a service within a window. A claim needs a
@@ -37,6 +38,9 @@
 	confirmedAt    time.Time // when a leader last confirmed the newest view
 	memberships    []membership
 	successors     map[view.Incarnation]view.Incarnation
+	present        map[view.Incarnation]bool // agents of the newest view that are not suspended
+	closings       []Closing                 // in ascending order of position
+	sealed         view.Position             // of the newest seal that claims include
 }
 
 // NewHistory returns an empty history for claims that are kept for the
@@ -48,13 +52,17 @@
 // HandOverLimit longer than the retention.
 func NewHistory(now time.Time, retention, maxUnconfirmed time.Duration) *History {
 	return &History{
-		window:         retention + maxUnconfirmed + 2*HandOverLimit,
+		window:         window(retention, maxUnconfirmed),
 		maxUnconfirmed: maxUnconfirmed,
 		completeSince:  now,
 		successors:     make(map[view.Incarnation]view.Incarnation),
 	}
 }
 
+func window(retention, maxUnconfirmed time.Duration) time.Duration {
+	return retention + maxUnconfirmed + 2*HandOverLimit
+}
+
 // Observe records the agents of the service in a view as the newest membership.
 func (h *History) Observe(now time.Time, position view.Position, agents []view.Agent) {
 	members := membersOf(agents)
@@ -62,6 +70,8 @@
 		return
 	}
 
+	h.observePresent(agents)
+
 	if last := len(h.memberships) - 1; last >= 0 {
 		if !h.memberships[last].position.Less(position) {
 			return
@@ -74,10 +84,20 @@
 		h.memberships[last].replacedAt = now
 	}
 
-	h.memberships = append(h.memberships, membership{position: position, members: members})
+	h.memberships = append(h.memberships, membership{position: position, members: members, observedAt: now})
 	h.trim(now)
 }
 
+func (h *History) observePresent(agents []view.Agent) {
+	h.present = make(map[view.Incarnation]bool, len(agents))
+
+	for _, agent := range agents {
+		if agent.State != view.Suspended {
+			h.present[agent.Incarnation] = true
+		}
+	}
+}
+
 // membersOf returns the active agents, or all of them if none is active.
 func membersOf(agents []view.Agent) []Member {
 	var active, all []Member
@@ -110,6 +130,7 @@
 	}
 
 	h.memberships = slices.Delete(h.memberships, 0, old)
+	h.trimClosings()
 
 	for seat := range h.successors {
 		if !h.containsSeat(seat) {
@@ -193,20 +214,43 @@
 }
 
 // HolderSets returns the holder sets of the key, that of the oldest membership first.
-// Equal sets appear once.
+// Equal sets appear once, and memberships that are closed for the key do not appear.
 func (h *History) HolderSets(now time.Time, key Key) [][]view.Incarnation {
-	h.trim(now)
+	sets, _ := h.holderSets(now, key)
+
+	return sets
+}
 
-	var sets [][]view.Incarnation
+// holderSets returns the holder sets of the key, and how many of them come up to
+// the newest seal: the oldest set of another claimant is one of these, depending
+// on the closings that it knows.
+func (h *History) holderSets(now time.Time, key Key) (sets [][]view.Incarnation, upToSeal int) {
+	h.trim(now)
 
+	holders := make([][]view.Incarnation, 0, len(h.memberships))
 	for _, m := range h.memberships {
-		set := holdersOf(m.members, key)
-		if !slices.ContainsFunc(sets, func(other []view.Incarnation) bool { return slices.Equal(other, set) }) {
+		holders = append(holders, holdersOf(m.members, key))
+	}
+
+	open := h.openSince(holders)
+
+	for i, set := range holders {
+		if h.memberships[i].position.Less(open) {
+			continue
+		}
+
+		at := slices.IndexFunc(sets, func(other []view.Incarnation) bool { return slices.Equal(other, set) })
+		if at < 0 {
+			at = len(sets)
 			sets = append(sets, set)
 		}
+
+		if at == 0 || !h.sealed.Less(h.memberships[i].position) {
+			upToSeal = max(upToSeal, at+1)
+		}
 	}
 
-	return sets
+	return sets, upToSeal
 }
 
 // holdersOf returns the seats of the key by rendezvous hashing (Thaler and
@@ -280,13 +324,18 @@
 	CoveredDuration time.Duration                         `cbor:"1,keyasint"`
 	Memberships     []MembershipRecord                    `cbor:"2,keyasint"`
 	Moved           map[view.Incarnation]view.Incarnation `cbor:"3,keyasint,omitempty"`
+	Closings        []Closing                             `cbor:"4,keyasint,omitempty"`
+	Sealed          view.Position                         `cbor:"5,keyasint"`
 }
 
 // Snapshot returns the history in the form that is sent to a sibling.
 func (h *History) Snapshot(now time.Time) HistorySnapshot {
 	h.trim(now)
 
-	snapshot := HistorySnapshot{CoveredDuration: now.Sub(h.completeSince), Moved: maps.Clone(h.successors)}
+	snapshot := HistorySnapshot{
+		CoveredDuration: now.Sub(h.completeSince), Moved: maps.Clone(h.successors),
+		Closings: slices.Clone(h.closings), Sealed: h.sealed,
+	}
 	for _, m := range h.memberships {
 		record := MembershipRecord{Position: m.position, Members: m.members, Replaced: !m.replacedAt.IsZero()}
 		if record.Replaced {
@@ -314,6 +363,12 @@
 		}
 	}
 
+	for _, closing := range snapshot.Closings {
+		h.Close(now, closing)
+	}
+
+	h.raiseSeal(snapshot.Sealed)
+
 	if since := now.Add(-snapshot.CoveredDuration); contiguous && since.Before(h.completeSince) {
 		h.completeSince = since
 	}
@@ -351,7 +406,7 @@
 		return
 	}
 
-	added := membership{position: record.Position, members: record.Members}
+	added := membership{position: record.Position, members: record.Members, observedAt: now}
 	if record.Replaced {
 		added.replacedAt = now.Add(-max(record.Age, 0))
 	} else if index < len(h.memberships) {
--- a/internal/coordination/claim/message.go
+++ b/internal/coordination/claim/message.go
@@ -80,6 +80,7 @@
 	Full                        // not claimed, and the store has no room for a claim
 	Moved                       // another agent answers for the seat
 	NotHolder                   // this agent does not answer for the seat
+	Sealed                      // free, for claimants that include the membership of the seal
 )
 
 // Request is sent by a claimant to the agent that answers for a seat.
@@ -89,6 +90,7 @@
 	Key       Key              `cbor:"3,keyasint"`
 	Execution Execution        `cbor:"4,keyasint"`
 	Answer    Answer           `cbor:"5,keyasint,omitempty"` // of Complete
+	Sealed    view.Position    `cbor:"6,keyasint"`           // of the newest seal that the claim includes
 }
 
 // Reply is the answer to a Request. Seat, Key and Execution are those of the
@@ -102,6 +104,7 @@
 	Answer    Answer           `cbor:"6,keyasint,omitempty"` // of Completed
 	Successor view.Incarnation `cbor:"7,keyasint,omitempty"` // of Moved
 	Verb      Verb             `cbor:"8,keyasint"`           // of the request
+	Seal      *Seal            `cbor:"9,keyasint,omitempty"` // of Sealed
 }
 
 // Record is the encoded form of one claim in a Transfer. It holds an age in
@@ -171,10 +174,20 @@
 
 // Check returns an error for the first invalid field.
 func (r *Reply) Check() error {
-	if r.Status < Granted || r.Status > NotHolder {
+	if r.Status < Granted || r.Status > Sealed {
 		return newError("check reply", KindEncoding, errors.Errorf("status %d is not known", r.Status))
 	}
 
+	if (r.Status == Sealed) != (r.Seal != nil) {
+		return newError("check reply", KindEncoding, errors.New("a seal comes with status Sealed and no other"))
+	}
+
+	if r.Seal != nil {
+		if err := r.Seal.Check(); err != nil {
+			return err
+		}
+	}
+
 	return checkLimits(r.Key, r.Answer)
 }
 
@@ -185,21 +198,37 @@
 		return Transfer{}, err
 	}
 
-	for _, r := range transfer.Records {
+	return transfer, transfer.Check()
+}
+
+// Check returns an error for the first invalid record or seal.
+func (t *Transfer) Check() error {
+	if t.Seal != nil {
+		if err := t.Seal.Check(); err != nil {
+			return err
+		}
+	}
+
+	return CheckRecords(t.Records)
+}
+
+// CheckRecords returns an error for the first invalid record.
+func CheckRecords(records []Record) error {
+	for _, r := range records {
 		if r.Status != Granted && r.Status != Completed && r.Status != Released {
-			return Transfer{}, newError("decode transfer", KindEncoding, errors.Errorf("record has status %d", r.Status))
+			return newError("check records", KindEncoding, errors.Errorf("record has status %d", r.Status))
 		}
 
 		if r.Age < 0 {
-			return Transfer{}, newError("decode transfer", KindLimit, errors.Errorf("negative age %s", r.Age))
+			return newError("check records", KindLimit, errors.Errorf("negative age %s", r.Age))
 		}
 
 		if err := checkLimits(r.Key, r.Answer); err != nil {
-			return Transfer{}, err
+			return err
 		}
 	}
 
-	return transfer, nil
+	return nil
 }
 
 // DecodeHistorySnapshot decodes and checks a HistorySnapshot.
@@ -224,6 +253,12 @@
 		}
 	}
 
+	for _, closing := range p.Closings {
+		if err := closing.Check(); err != nil {
+			return err
+		}
+	}
+
 	return nil
 }
 
--- a/internal/coordination/claim/store.go
+++ b/internal/coordination/claim/store.go
@@ -36,6 +36,11 @@
 	key  Key
 }
 
+// encode returns the record as it is sent to another store.
+func (r *record) encode(now time.Time) Record {
+	return Record{Key: r.key, Execution: r.execution, Status: r.status, Answer: r.answer, Age: now.Sub(r.createdAt)}
+}
+
 func (r *record) id() recordID { return recordID{seat: r.seat, key: r.key} }
 
 // Store holds the claims at the seats of one agent: its own seat and those that
@@ -49,13 +54,19 @@
 	byReleaseTime *list.List // of *record with status Released, oldest first
 	seats         map[view.Incarnation]bool
 	successors    map[view.Incarnation]view.Incarnation
+	seal          Seal      // see Seal; the zero value asks for nothing
+	sealedAt      time.Time // when this store got the seal
+	sealTTL       time.Duration
 }
 
 // NewStore returns an empty store that answers for the agent's own seat. It
-// keeps a claim for the retention after the latest possible hand-over.
-func NewStore(own view.Incarnation, retention time.Duration, capacity int) *Store {
+// keeps a claim for the retention after the latest possible hand-over. An agent
+// that has been isolated for longer than maxUnconfirmed claims nothing before it
+// has learned the memberships of its siblings.
+func NewStore(own view.Incarnation, retention, maxUnconfirmed time.Duration, capacity int) *Store {
 	return &Store{
 		retention:     retention + HandOverLimit,
+		sealTTL:       window(retention, maxUnconfirmed),
 		capacity:      capacity,
 		records:       make(map[recordID]*list.Element),
 		byGrantTime:   list.New(),
@@ -86,6 +97,14 @@
 
 	id := recordID{seat: request.Seat, key: request.Key}
 
+	if request.Verb == Grant && request.Sealed.Less(s.seal.Position) && s.isFree(id, request.Execution) {
+		seal := s.seal
+		reply.Status = Sealed
+		reply.Seal = &seal
+
+		return reply
+	}
+
 	switch request.Verb {
 	case Grant:
 		s.grant(now, id, request.Execution)
@@ -129,14 +148,20 @@
 
 // grant reserves a free key. A released key is free for other executions.
 func (s *Store) grant(now time.Time, id recordID, execution Execution) {
-	r := s.find(id)
-	if r != nil && (r.status != Released || r.execution == execution) {
+	if !s.isFree(id, execution) {
 		return
 	}
 
 	s.put(&record{seat: id.seat, key: id.key, execution: execution, status: Granted, createdAt: now})
 }
 
+// isFree reports whether the key can be granted to the execution.
+func (s *Store) isFree(id recordID, execution Execution) bool {
+	r := s.find(id)
+
+	return r == nil || (r.status == Released && r.execution != execution)
+}
+
 // complete records that an execution has ended. It overrides a grant to another
 // execution, because only an execution with a majority of every holder set runs.
 func (s *Store) complete(now time.Time, id recordID, execution Execution, answer Answer) {
@@ -205,9 +230,13 @@
 	return s.byGrantTime
 }
 
-// Expire drops claims that are older than the retention, and tombstones that are
-// older than tombstoneTTL.
+// Expire drops claims that are older than the retention, tombstones that are
+// older than tombstoneTTL, and a seal that every history has learned or trimmed.
 func (s *Store) Expire(now time.Time) {
+	if now.Sub(s.sealedAt) > s.sealTTL {
+		s.seal = Seal{}
+	}
+
 	s.expire(now, s.byGrantTime, s.retention)
 	s.expire(now, s.byReleaseTime, min(tombstoneTTL, s.retention))
 }
@@ -229,6 +258,7 @@
 type Transfer struct {
 	Seat    view.Incarnation `cbor:"1,keyasint"`
 	Records []Record         `cbor:"2,keyasint"`
+	Seal    *Seal            `cbor:"3,keyasint,omitempty"` // of the store that held the seat
 }
 
 // Seats returns the seats that the store answers for.
@@ -254,15 +284,16 @@
 	}
 
 	transfer := Transfer{Seat: seat}
+	if seal := s.seal; len(seal.Members) > 0 {
+		transfer.Seal = &seal
+	}
 
 	for _, records := range []*list.List{s.byGrantTime, s.byReleaseTime} {
 		for element := records.Front(); element != nil; {
 			next := element.Next()
 
 			if r := element.Value.(*record); r.seat == seat {
-				transfer.Records = append(transfer.Records, Record{
-					Key: r.key, Execution: r.execution, Status: r.status, Answer: r.answer, Age: now.Sub(r.createdAt),
-				})
+				transfer.Records = append(transfer.Records, r.encode(now))
 				s.drop(element)
 			}
 
@@ -305,9 +336,8 @@
 		return newError("import", KindSeat, errors.Errorf("the store holds or has exported seat %d", transfer.Seat))
 	}
 
-	if len(s.records)+len(transfer.Records) > s.capacity {
-		return newError("import", KindLimit,
-			errors.Errorf("%d claims, there is room for %d", len(transfer.Records), s.capacity-len(s.records)))
+	if err := s.checkRoom("import", len(transfer.Records)); err != nil {
+		return err
 	}
 
 	for _, r := range transfer.Records {
@@ -319,6 +349,19 @@
 
 	s.seats[transfer.Seat] = true
 
+	if transfer.Seal != nil {
+		s.Seal(now, *transfer.Seal)
+	}
+
+	return nil
+}
+
+func (s *Store) checkRoom(operation string, added int) error {
+	if len(s.records)+added > s.capacity {
+		return newError(operation, KindLimit,
+			errors.Errorf("%d claims, there is room for %d", added, s.capacity-len(s.records)))
+	}
+
 	return nil
 }
 
--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -26,7 +26,7 @@
 func newHolder(t *testing.T, capacity int) *holder {
 	t.Helper()
 
-	return &holder{Store: claim.NewStore(9, retention, capacity), is: is.New(t)}
+	return &holder{Store: claim.NewStore(9, retention, maxUnconfirmed, capacity), is: is.New(t)}
 }
 
 // expect sends a request to seat 9 and compares the status.
@@ -102,7 +102,7 @@
 
 // TestMove guards against claims that are lost or held twice when a seat moves.
 func TestMove(t *testing.T) {
-	from, to := newHolder(t, 10), &holder{Store: claim.NewStore(8, retention, 10), is: is.New(t)}
+	from, to := newHolder(t, 10), &holder{Store: claim.NewStore(8, retention, maxUnconfirmed, 10), is: is.New(t)}
 	from.expect(start, claim.Grant, firstExecution, claim.Granted)
 	to.expect(start, claim.Grant, secondExecution, claim.NotHolder)
 
@@ -124,7 +124,7 @@
 // TestMoveRefused guards against a successor without room that drops claims, and
 // against a seat that no agent answers for after the refusal.
 func TestMoveRefused(t *testing.T) {
-	from, to := newHolder(t, 10), &holder{Store: claim.NewStore(8, retention, 0), is: is.New(t)}
+	from, to := newHolder(t, 10), &holder{Store: claim.NewStore(8, retention, maxUnconfirmed, 0), is: is.New(t)}
 	from.expect(start, claim.Grant, firstExecution, claim.Granted)
 
 	transfer, err := from.Export(start, 9, 8)
@@ -154,7 +154,7 @@
 
 		if decoded, err := claim.DecodeRequest(encoded); err == nil {
 			is.True(len(decoded.Key.Token) <= claim.MaxToken && len(decoded.Answer.Body) <= claim.MaxAnswer)
-			claim.NewStore(decoded.Seat, retention, 10).Handle(start, decoded)
+			claim.NewStore(decoded.Seat, retention, maxUnconfirmed, 10).Handle(start, decoded)
 		}
 
 		if decoded, err := claim.DecodeReply(encoded); err == nil {
@@ -163,7 +163,7 @@
 		}
 
 		if decoded, err := claim.DecodeTransfer(encoded); err == nil {
-			store := claim.NewStore(decoded.Seat+1, retention, 10)
+			store := claim.NewStore(decoded.Seat+1, retention, maxUnconfirmed, 10)
 			is.Equal(store.Import(start, decoded) == nil, store.Len() == len(decoded.Records) && len(decoded.Records) <= 10)
 		}
 
--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -93,6 +93,8 @@
 	sequence          uint64
 	incomingTransfers map[view.Incarnation]*incomingTransfer // partly received transfers by seat
 	callsInProgress   map[view.Incarnation]int               // calls in progress by holder
+	closing           bool                                   // memberships are being closed
+	nextClosing       time.Time                              // not before this time, after a failure
 }
 
 // activeClaim is a claimant and the request that waits for its decision.
@@ -189,7 +191,7 @@
 // ensureStore creates the store once the incarnation is known.
 func (c *claims) ensureStore() {
 	if own := c.self(); c.store == nil && own != 0 {
-		c.store = claim.NewStore(own, c.retention, c.capacity)
+		c.store = claim.NewStore(own, c.retention, c.maxUnconfirmed, c.capacity)
 	}
 }
 
@@ -216,6 +218,7 @@
 		c.queryHistory(ctx)
 	default:
 		c.established = true
+		c.closeMemberships(ctx, now)
 	}
 }
 
@@ -365,6 +368,10 @@
 	server.Handle(methodHistory, c.handleHistory)
 	server.Handle(methodTransfer, c.handleTransfer)
 	server.Handle(methodMoved, c.handleMoved)
+	server.Handle(methodSeal, c.handleSeal)
+	server.Handle(methodCarry, c.handleCarry)
+	server.Handle(methodAdopt, c.handleAdopt)
+	server.Handle(methodClosed, c.handleClosed)
 }
 
 func (c *claims) checkPeer(ctx context.Context) error {
--- a/internal/program/agent/claims_test.go
+++ b/internal/program/agent/claims_test.go
@@ -193,6 +193,16 @@
 		_, err = target.answerTransfer(ctx, *message)
 	case *movedSeat:
 		target.recordMove(ctx, *message)
+	case *claim.Seal:
+		if sealed, ok := reply.(*sealReply); ok {
+			*sealed = target.answerSeal(ctx, *message)
+		} else {
+			*reply.(*carryReply), err = target.answerCarry(ctx, *message)
+		}
+	case *carriedClaims:
+		_, err = target.answerAdopt(ctx, *message)
+	case *claim.Closing:
+		target.answerClosed(ctx, *message)
 	default:
 		*reply.(*historyReply) = *target.answerHistory(ctx, *request.(*historyRequest))
 	}
@@ -395,6 +405,59 @@
 	})
 }
 
+// TestTwoLossesInTurn guards against keys that end as unknown because both of the
+// lost agents were the only ones of their availability zones, and against a second
+// run of what ran before the first loss, between the losses, or at their time.
+func TestTwoLossesInTurn(t *testing.T) {
+	const keys = 60
+
+	soak.Run(t, 3, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, seed, 4) // agents 1 and 4 share a zone
+			defer f.close()
+
+			send := func(n view.Incarnation, phase string) {
+				for i := range keys {
+					assertAnswer(t, f.send(n, fmt.Sprint(phase, i)), fmt.Sprint(phase, i))
+				}
+			}
+
+			send(1, "before ")
+			f.withLock(func() { f.nodes[2].dead, f.nodes[2].confirmed = true, false })
+			f.publish(t, []view.Incarnation{1, 3, 4}, 2)
+			send(3, "during ")
+			time.Sleep(5 * time.Second)
+			send(3, "between ")
+
+			f.withLock(func() { f.nodes[3].dead, f.nodes[3].confirmed = true, false })
+			f.publish(t, []view.Incarnation{1, 4}, 2, 3)
+			send(4, "after ")
+
+			for _, phase := range []string{"before ", "during ", "between ", "after "} {
+				send(1, phase) // answers of the first runs
+			}
+
+			f.withLock(func() { f.nodes[2].dead, f.nodes[2].confirmed = false, true })
+			f.publish(t, nil, 3)
+			time.Sleep(time.Second)
+
+			for i := range keys {
+				f.send(2, fmt.Sprint("between ", i)) // it has not seen the membership of that time
+				f.send(2, fmt.Sprint("after ", i))
+			}
+
+			for key, runs := range f.runs {
+				if runs != 1 {
+					t.Errorf("%s ran %d times", key, runs)
+				}
+			}
+
+			is.Equal(len(f.runs), 4*keys)
+		})
+	})
+}
+
 // TestSingleAgentService guards against a service of one agent that never accepts
 // non-idempotent requests because it waits for more agents.
 func TestSingleAgentService(t *testing.T) {
--- a/internal/program/agent/seats.go
+++ b/internal/program/agent/seats.go
@@ -22,6 +22,10 @@
 	methodHistory  = "claim-past"     // historyRequest, historyReply
 	methodTransfer = "claim-transfer" // transferPart, emptyReply
 	methodMoved    = "claim-moved"    // movedSeat, emptyReply
+	methodSeal     = "claim-seal"     // claim.Seal, sealReply
+	methodCarry    = "claim-carry"    // claim.Seal, carryReply
+	methodAdopt    = "claim-adopt"    // carriedClaims, emptyReply
+	methodClosed   = "claim-closed"   // claim.Closing, emptyReply
 )
 
 const (
--- a/internal/testing/capacity/leasecost.go
+++ b/internal/testing/capacity/leasecost.go
@@ -167,7 +167,7 @@
 		{ClaimHandle, "granting and completing the records at one holder", unitSeconds},
 	},
 	run: func(_ context.Context, size int) ([]float64, error) {
-		store := claim.NewStore(1, 10*time.Minute, maxClaimRecords)
+		store := claim.NewStore(1, 10*time.Minute, 10*time.Minute, maxClaimRecords)
 		began := processorTime()
 		memory := retainedMemory(func() *claim.Store {
 			for i := range size {
--- a/internal/testing/fleet/agent_test.go
+++ b/internal/testing/fleet/agent_test.go
@@ -13,6 +13,9 @@
 const (
 	drainLimit    = 3 * time.Second  // after which a draining agent receives no new requests
 	pauseDuration = 10 * time.Second // far longer than the lease
+	// closingTime is longer than the lease of a lost agent and the time in which its
+	// claims are carried to the other agents.
+	closingTime = 10 * time.Second
 )
 
 // Guards against a drain that breaks flows or requests or still accepts new
@@ -87,6 +90,25 @@
 	assertAtMostOnce(t, calls.Stop())
 }
 
+// Guards against pass reports that all end as unknown because two agents, each the
+// only one of its availability zone, are lost one after the other.
+func TestLossOfZonesInTurn(t *testing.T) {
+	f := deploy(t, 12)
+
+	for _, lost := range []int{2, 3} { // agents 1 and 4 share the third zone
+		calls := startLoad(f)
+
+		f.Kill(fleet.Agent(lost))
+		time.Sleep(closingTime)
+		assertAtMostOnce(t, calls.Stop())
+	}
+
+	calls := startLoad(f)
+
+	time.Sleep(settleTime)
+	assertAtMostOnce(t, calls.Stop())
+}
+
 // Guards against an agent that is paused for longer than its lease and the
 // timeouts of its callers, and after it continues runs requests that another
 // agent has already run.
--- a/internal/testing/measure/claims.go
+++ b/internal/testing/measure/claims.go
@@ -38,6 +38,7 @@
 	Records    int // most records in one store at a time
 	Verdicts   map[claim.Verdict]int
 	Reasons    map[claim.Reason]int
+	Closings   int      // of memberships that had lost a holder
 	Violations []string // requests that ran twice, wrong "not run" verdicts and wrong replays
 }
 
--- a/internal/testing/measure/claims_simulation.go
+++ b/internal/testing/measure/claims_simulation.go
@@ -27,6 +27,7 @@
 	alive       bool
 	draining    bool
 	isolated    bool
+	closing     bool // a closing that it coordinates is in progress
 }
 
 // claimAttempt is one transmission of a request through one agent.
@@ -74,7 +75,7 @@
 	incarnation := view.Incarnation(len(s.nodes) + 1)
 	n := &claimNode{
 		incarnation: incarnation, zone: fmt.Sprintf("zone-%d", incarnation%3), alive: true,
-		store:   claim.NewStore(incarnation, Retention, s.scenario.Capacity),
+		store:   claim.NewStore(incarnation, Retention, MaxUnconfirmed, s.scenario.Capacity),
 		history: claim.NewHistory(s.now, Retention, MaxUnconfirmed),
 	}
 	s.nodes = append(s.nodes, n)
@@ -305,6 +306,7 @@
 		for _, n := range s.nodes {
 			if n.alive {
 				s.stepNode(n)
+				s.stepClosing(n)
 				s.result.Records = max(s.result.Records, n.store.Len())
 			}
 		}
--- a/internal/testing/measure/executions.go
+++ b/internal/testing/measure/executions.go
@@ -157,7 +157,7 @@
 func (r *executionRun) join() *executionNode {
 	incarnation := view.Incarnation(len(r.nodes) + 1)
 	n := &executionNode{
-		incarnation: incarnation, store: claim.NewStore(incarnation, executionRetention, 1<<14),
+		incarnation: incarnation, store: claim.NewStore(incarnation, executionRetention, executionRetention, 1<<14),
 		history:   claim.NewHistory(r.now, executionRetention, executionRetention),
 		knownKeys: make(map[claim.Key]bool),
 	}
