Let siblings forget that the first agent of a service was alone

The logs show that it was not the two losses: after the first kill, before the second, 33 pass reports already ended as "too few holders answer", and the killed agent had been the only one of the service in the view of 0.18 s (position 1/18, members: 1). The agent that begins the claims of a service forgets such memberships; an agent that has seen them and gets the history of that agent kept them, so every key needed the first agent for 20 minutes.

Ruled out: the closing of memberships. It ended after 1.5 s ("seats": 3), and the set {1} has no majority of sealed seats by right.

Change: the position of the first claims is part of the history that siblings get; older memberships whose members are all in that one are dropped there too.

Before: TestOrigin (new) fails, [[1] [1 2 3]] != [[1 2 3]]. After: it passes.

--- a/internal/coordination/claim/claimant_test.go
+++ b/internal/coordination/claim/claimant_test.go
@@ -194,6 +194,25 @@
 	is.True(!fresh.Complete(now.Add(maxUnconfirmed + 1))) // isolated for too long
 }
 
+// TestOrigin guards against an agent that asks the first agent of the service alone,
+// because it has seen it alone before the service had enough agents to claim.
+func TestOrigin(t *testing.T) {
+	is := is.New(t)
+	histories := make([]*claim.History, 2)
+
+	for i := range histories {
+		histories[i] = claim.NewHistory(start, retention, maxUnconfirmed)
+		histories[i].Observe(start, view.Position{Index: 1}, activeAgents(1, 1))
+		histories[i].Observe(start, view.Position{Index: 2}, activeAgents(1, 4))
+		histories[i].Confirm(start)
+	}
+
+	histories[0].AssumeNoEarlierClaims(start)
+	histories[1].Merge(start, histories[0].Snapshot(start))
+	is.True(histories[1].Complete(start))
+	is.Equal(histories[1].HolderSets(start, key), histories[0].HolderSets(start, key))
+}
+
 // TestSets guards against claims that ignore an earlier membership, against
 // holders in the same availability zone, and against an uneven spread of keys
 // over the agents, with hundreds of agents and thousands of keys.
--- a/internal/coordination/claim/history.go
+++ b/internal/coordination/claim/history.go
@@ -41,6 +41,7 @@
 	present        map[view.Incarnation]bool // agents of the newest view that are not suspended
 	closings       []Closing                 // in ascending order of position
 	sealed         view.Position             // of the newest seal that claims include
+	origin         view.Position             // of the membership of the first claims, if that was seen
 }
 
 // NewHistory returns an empty history for claims that are kept for the
@@ -169,10 +170,23 @@
 		return
 	}
 
-	newest := h.memberships[len(h.memberships)-1]
+	h.origin = h.memberships[len(h.memberships)-1].position
+	h.dropBeforeOrigin()
+}
+
+// dropBeforeOrigin drops the memberships before that of the first claims whose
+// members are all in it. Siblings learn the origin by Merge: they may have seen the
+// first agent alone too.
+func (h *History) dropBeforeOrigin() {
+	at := slices.IndexFunc(h.memberships, func(m membership) bool { return m.position == h.origin })
+	if at < 0 {
+		return
+	}
+
+	first := h.memberships[at]
 	h.memberships = slices.DeleteFunc(h.memberships, func(m membership) bool {
-		return m.position != newest.position && !slices.ContainsFunc(m.members, func(member Member) bool {
-			return !slices.Contains(newest.members, member)
+		return m.position.Less(h.origin) && !slices.ContainsFunc(m.members, func(member Member) bool {
+			return !slices.Contains(first.members, member)
 		})
 	})
 }
@@ -326,6 +340,7 @@
 	Moved           map[view.Incarnation]view.Incarnation `cbor:"3,keyasint,omitempty"`
 	Closings        []Closing                             `cbor:"4,keyasint,omitempty"`
 	Sealed          view.Position                         `cbor:"5,keyasint"`
+	Origin          view.Position                         `cbor:"6,keyasint"`
 }
 
 // Snapshot returns the history in the form that is sent to a sibling.
@@ -334,7 +349,7 @@
 
 	snapshot := HistorySnapshot{
 		CoveredDuration: now.Sub(h.completeSince), Moved: maps.Clone(h.successors),
-		Closings: slices.Clone(h.closings), Sealed: h.sealed,
+		Closings: slices.Clone(h.closings), Sealed: h.sealed, Origin: h.origin,
 	}
 	for _, m := range h.memberships {
 		record := MembershipRecord{Position: m.position, Members: m.members, Replaced: !m.replacedAt.IsZero()}
@@ -369,6 +384,12 @@
 
 	h.raiseSeal(snapshot.Sealed)
 
+	if h.origin.Less(snapshot.Origin) {
+		h.origin = snapshot.Origin
+	}
+
+	h.dropBeforeOrigin()
+
 	if since := now.Add(-snapshot.CoveredDuration); contiguous && since.Before(h.completeSince) {
 		h.completeSince = since
 	}
