Offer a new flow to an agent with a free slot

Change: an entry instance marks the opening packet of a flow, and an agent without a free slot hands it back with its current load. After five such answers the flow goes to the least loaded of the agents that were asked. The mark is removed before the backend server gets the packet.

Not tried: probes of load before each flow (two more packets for each flow, and the answer is old by the time that the flow arrives).

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -84,6 +84,7 @@
 	ToClient      // send the packet to the client
 	Reset         // reset the flow at its client
 	Hold          // the gate keeps the packet until Start returns it
+	Decline       // hand the opening packet back to Forwarder, which knows further agents
 )
 
 // Reason is why a packet was not delivered, as it appears in logs.
@@ -117,6 +118,7 @@
 	Accepted, Refused, Resets, Returned, Stray uint64
 	Held                                       uint64 // requests that waited for a slot
 	Abandoned                                  uint64 // requests whose clients closed the flow while they waited
+	Declined                                   uint64 // new flows that another agent with a free slot should get
 }
 
 // Config holds the settings of a Gate.
@@ -136,6 +138,7 @@
 	openFlows       int // flows that are not closed
 	waitingFlows    int // flows whose client waits for an answer
 	runningRequests int // requests handed over and not answered yet
+	reservations    reservations
 	queue           queue
 	health          health
 	lastSweep       time.Time
@@ -195,7 +198,7 @@
 	}
 
 	if header.Opens() {
-		return g.handleOpen(now, key, h, forwarder)
+		return g.handleOpen(now, key, h, forwarder, header.Declinable)
 	}
 
 	if h == nil {
@@ -219,7 +222,9 @@
 }
 
 // handleOpen decides about the first packet of a flow.
-func (g *Gate) handleOpen(now time.Time, key flow.Key, h *trackedFlow, forwarder flow.Endpoint) Decision {
+func (g *Gate) handleOpen(
+	now time.Time, key flow.Key, h *trackedFlow, forwarder flow.Endpoint, declinable bool,
+) Decision {
 	// A client that opens a flow again after closing it reuses the same address and port.
 	if h != nil && h.abandoned {
 		g.removeFlow(key, h)
@@ -239,7 +244,15 @@
 		return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
 	}
 
-	g.addFlow(now, key, opening).forwarder = forwarder
+	if declinable && !g.hasUnreservedSlot(now) {
+		g.counters.Declined++
+
+		return Decision{Kind: Decline, Forwarder: forwarder}
+	}
+
+	h = g.addFlow(now, key, opening)
+	h.forwarder = forwarder
+	g.reservations.add(h)
 
 	return Decision{Kind: Deliver}
 }
@@ -278,6 +291,7 @@
 		g.openFlows--
 	}
 
+	g.reservations.release(h)
 	g.finishRequest(h)
 	g.dropRequest(h)
 
--- a/internal/coordination/gate/held.go
+++ b/internal/coordination/gate/held.go
@@ -28,6 +28,7 @@
 	nextSequence uint32    // sequence number after the last data of the client
 	handedOverAt time.Time // when the backend server got the current request; zero if it has none
 	request      *request  // request that waits for a slot; nil if there is none
+	reserved     bool      // a slot is reserved for its first request
 	overdue      bool      // the opening packet was not answered within acceptTimeout
 	abandoned    bool      // the client closed the flow while its request waited for a slot
 	closedBy     [2]bool   // indexed by side: 0 is the client, 1 the backend server
--- a/internal/coordination/gate/requests.go
+++ b/internal/coordination/gate/requests.go
@@ -32,6 +32,8 @@
 
 		kind = Hold
 	case h.hasNewData(header) && h.waitingSince.IsZero():
+		g.reservations.release(h)
+
 		h.waitingSince = now
 		g.waitingFlows++
 
@@ -100,6 +102,14 @@
 	return g.backend.slots == 0 || g.runningRequests < int(g.backend.slots)
 }
 
+// hasUnreservedSlot reports whether the backend server has a slot for the first
+// request of another flow.
+func (g *Gate) hasUnreservedSlot(now time.Time) bool {
+	taken := g.runningRequests + len(g.queue.waiting) + g.reservations.count(now)
+
+	return g.backend.slots == 0 || taken < int(g.backend.slots)
+}
+
 // startRequest records that the request of a flow is handed to the backend server.
 func (g *Gate) startRequest(now time.Time, h *trackedFlow) {
 	h.handedOverAt = now
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -41,6 +41,8 @@
 	unsure       []flow.Endpoint // agents that may hold the flow
 	openDeadline time.Time       // when the client gives up on opening the flow
 	offers       int             // agents that got the first packet and may still answer
+	declined     []flow.Endpoint // agents that had no free slot for the flow
+	declinable   bool            // the last offer lets the agent decline
 	askedLikely  bool            // the likely agents have been asked
 	probing      bool            // the packets were sent to an unsure agent
 	incomplete   bool            // an agent was not asked or did not answer, so the flow is not certain to be lost
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -29,7 +29,7 @@
 // addPending adds a flow that is to be opened. The tried agents have refused it.
 func (r *Router) addPending(now time.Time, key flow.Key, packet []byte, tried ...flow.Endpoint) *entry {
 	e := &entry{state: opening, lastPacket: now, pending: &pending{
-		packets: [][]byte{bytes.Clone(packet)}, tried: tried, openDeadline: now.Add(openLifetime),
+		packets: [][]byte{bytes.Clone(packet)}, tried: tried, openDeadline: now.Add(openLifetime), declinable: true,
 	}}
 	r.flows[key] = e
 	r.pendingFlows[key] = e
@@ -39,8 +39,24 @@
 
 // offer sends the first packet to the next candidate, or refuses the flow if
 // there is none.
+//
+// Each agent may decline while it has no free slot. The reports of agents are older
+// than a request takes, and every entry instance places flows by them, so the least
+// loaded agent is often busy while others are idle. A packet that is handed back
+// costs a round trip; a request that waits behind others costs their service times.
+// After maxDeclines, all agents are likely to be busy: the flow goes to the least
+// loaded of them, according to the answers that have just arrived.
 func (r *Router) offer(now time.Time, target *route.Route, key flow.Key, e *entry, reason Reason) {
-	chosen := r.chooseAgent(now, target, key, e.tried)
+	if len(e.declined) >= maxDeclines {
+		e.declinable = false
+	}
+
+	chosen := r.chooseAgent(now, target, key, e)
+	if chosen == nil && e.declinable && len(e.declined) > 0 {
+		e.declinable = false
+		chosen = r.chooseAgent(now, target, key, e)
+	}
+
 	if chosen == nil {
 		r.removeFlow(key)
 
@@ -65,7 +81,9 @@
 	e.agent = chosen.Address
 	e.tried = append(e.tried, chosen.Address)
 	e.deadline = now.Add(OpenTimeout)
-	r.forward(key, chosen.Address, e.packets[0], reason)
+	r.addAction(Action{
+		Kind: Forward, Key: key, To: chosen.Address, Packet: e.packets[0], Reason: reason, Declinable: e.declinable,
+	})
 }
 
 // handleOpenTimeout continues with a flow whose agent did not answer in time.
@@ -86,11 +104,11 @@
 // nil. The other services of the route are the last resort, and only if document
 // and agents are current: after a loss of all instances, the first service that
 // came back got the flows of the other services and kept them.
-func (r *Router) chooseAgent(now time.Time, target *route.Route, key flow.Key, tried []flow.Endpoint) *agent {
+func (r *Router) chooseAgent(now time.Time, target *route.Route, key flow.Key, e *entry) *agent {
 	hash := key.Hash()
 	picked := target.Pick(hash)
 
-	if chosen := r.chooseFromService(now, picked, hash, tried); chosen != nil {
+	if chosen := r.chooseFromService(now, picked, hash, e); chosen != nil {
 		return chosen
 	}
 
@@ -103,7 +121,7 @@
 			continue
 		}
 
-		if chosen := r.chooseFromService(now, other.Service, hash, tried); chosen != nil {
+		if chosen := r.chooseFromService(now, other.Service, hash, e); chosen != nil {
 			return chosen
 		}
 	}
@@ -116,14 +134,14 @@
 // fail: they answer fast, have few flows, and would attract all new ones. If many
 // agents of a service fail, the cause is probably elsewhere, and the remaining
 // agents could not carry the whole load.
-func (r *Router) chooseFromService(now time.Time, service string, hash uint64, tried []flow.Endpoint) *agent {
+func (r *Router) chooseFromService(now time.Time, service string, hash uint64, e *entry) *agent {
 	var preferred, fallback []*agent
 
 	avoid := r.countFailing(service) <= int(maxAvoidedShare*float64(len(r.services[service])))
 
 	for _, a := range r.services[service] {
 		switch {
-		case a.State != roster.Ready || slices.Contains(tried, a.Address):
+		case a.State != roster.Ready || slices.Contains(e.tried, a.Address):
 		case now.Before(a.suspectUntil), avoid && a.Failing:
 			fallback = append(fallback, a)
 		default:
@@ -144,6 +162,14 @@
 		preferred = preferred[:maxCandidates]
 	}
 
+	if e.declinable {
+		preferred = slices.DeleteFunc(preferred, func(a *agent) bool { return slices.Contains(e.declined, a.Address) })
+	}
+
+	if len(preferred) == 0 {
+		return nil
+	}
+
 	return slices.MinFunc(preferred, func(a, b *agent) int {
 		return cmp.Or(
 			cmp.Compare(r.load(a), r.load(b)),
@@ -246,9 +272,33 @@
 		r.search(now, target, key, e, header, packet, from)
 	default:
 		// Another agent was found to hold the flow in the meantime.
-		r.forward(key, e.agent, bytes.Clone(packet), ReasonNone)
+		r.forward(key, e.agent, bytes.Clone(packet))
+	}
+
+	return r.actions
+}
+
+// Declined handles an opening packet that an agent handed back because its backend
+// server has no free slot.
+func (r *Router) Declined(now time.Time, from flow.Endpoint, header flow.Header, load roster.Load) []Action {
+	r.actions = r.actions[:0]
+	r.applyLoad(from, load)
+
+	key := header.Key()
+	target, routed := r.table.Find(key.Service)
+
+	e := r.flows[key]
+	if !routed || e == nil || e.state != opening || e.agent != from {
+		return r.actions
 	}
 
+	r.counters.Declined++
+
+	e.offers--
+	e.declined = append(e.declined, from)
+	e.tried = slices.DeleteFunc(e.tried, func(tried flow.Endpoint) bool { return tried == from })
+	r.offer(now, target, key, e, ReasonNone)
+
 	return r.actions
 }
 
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -150,7 +150,7 @@
 	r.assign(now, key, e, holder)
 
 	for _, packet := range packets {
-		r.forward(key, holder, packet, ReasonNone)
+		r.forward(key, holder, packet)
 	}
 }
 
@@ -169,7 +169,7 @@
 	e.deadline = now.Add(probeTimeout)
 
 	for _, packet := range e.packets {
-		r.forward(key, e.agent, packet, ReasonNone)
+		r.forward(key, e.agent, packet)
 	}
 }
 
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -52,6 +52,11 @@
 	// answers are useless to it.
 	openLifetime = 1400 * time.Millisecond
 
+	// maxDeclines limits the agents without a free slot that a flow is offered. With
+	// nine of ten slots of all backend servers taken, one of five agents with two or
+	// more slots each has a free one in most cases.
+	maxDeclines = 5
+
 	// maxOffers limits the agents that are offered a flow and may still answer.
 	// Without it, agents that were slow under load also got the flows of all other
 	// agents, and the entry instances of a deployment with links of 4.4 Mbit/s sent
@@ -174,11 +179,15 @@
 	Question Question
 	Sequence uint32 // of a Reset: last sequence number that the client acknowledged
 	Reason   Reason
+	// Declinable marks the opening packet of a Forward as one that an agent without a
+	// free slot hands back.
+	Declinable bool
 }
 
 // Counters count what a Router has decided.
 //
 //   - Opened: new flows for which an agent was sought.
+//   - Declined: offers of a flow to an agent without a free slot.
 //   - Moved: further offers of a flow after an agent refused it or did not answer.
 //   - Resets: flows reset at their client.
 //   - Located: searches started.
@@ -186,7 +195,7 @@
 //   - Dropped: packets dropped, and new flows refused because too many wait.
 //   - Stray: resets from clients for unknown flows.
 type Counters struct {
-	Opened, Moved, Resets, Located, Lost, Dropped, Stray uint64
+	Opened, Declined, Moved, Resets, Located, Lost, Dropped, Stray uint64
 }
 
 // agent is the state of one agent as known to a router.
@@ -345,8 +354,8 @@
 
 func (r *Router) addAction(action Action) { r.actions = append(r.actions, action) }
 
-func (r *Router) forward(key flow.Key, to flow.Endpoint, packet []byte, reason Reason) {
-	r.addAction(Action{Kind: Forward, Key: key, To: to, Packet: packet, Reason: reason})
+func (r *Router) forward(key flow.Key, to flow.Endpoint, packet []byte) {
+	r.addAction(Action{Kind: Forward, Key: key, To: to, Packet: packet})
 }
 
 func (r *Router) reset(key flow.Key, sequence uint32, reason Reason) {
@@ -415,7 +424,7 @@
 		// The agent no longer exists; another one may hold the flow now.
 		r.search(now, target, key, e, header, packet)
 	default:
-		r.forward(key, e.agent, packet, ReasonNone)
+		r.forward(key, e.agent, packet)
 	}
 }
 
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -246,7 +246,7 @@
 		}
 
 		f.execute(f.router.Found(now, sender, found.Key))
-	case wire.KindReturned:
+	case wire.KindReturned, wire.KindDeclined:
 		returned, err := wire.ParseReturned(body)
 		if err != nil {
 			return err
@@ -257,7 +257,11 @@
 			return err
 		}
 
-		f.execute(f.router.Returned(now, sender, header, returned.Packet, returned.Load))
+		if kind == wire.KindDeclined {
+			f.execute(f.router.Declined(now, sender, header, returned.Load))
+		} else {
+			f.execute(f.router.Returned(now, sender, header, returned.Packet, returned.Load))
+		}
 	default:
 		return errors.New("unexpected message kind")
 	}
@@ -284,6 +288,11 @@
 
 	switch action.Kind {
 	case steering.Forward:
+		if action.Declinable {
+			f.codec.SetDeclinable(action.Packet, true)
+			defer f.codec.SetDeclinable(action.Packet, false)
+		}
+
 		err = f.data.Send(action.Packet, action.To.AddrPort())
 	case steering.Reset:
 		f.buffer = f.codec.AppendReset(f.buffer[:0], action.Key, action.Sequence)
--- a/internal/program/inspect/inspect_test.go
+++ b/internal/program/inspect/inspect_test.go
@@ -48,6 +48,8 @@
 
 func (noopCodec) Restore([]byte) {}
 
+func (noopCodec) SetDeclinable([]byte, bool) {}
+
 func (noopCodec) AppendReset(buffer []byte, _ flow.Key, _ uint32) []byte { return buffer }
 
 // program is a controller or an agent.
--- a/internal/program/sidecar/checkpointer_test.go
+++ b/internal/program/sidecar/checkpointer_test.go
@@ -37,6 +37,8 @@
 
 func (fakeCodec) Restore([]byte) {}
 
+func (fakeCodec) SetDeclinable([]byte, bool) {}
+
 func (fakeCodec) AppendReset(buffer []byte, key flow.Key, _ uint32) []byte {
 	return append(buffer, key.String()...)
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -252,6 +252,10 @@
 		return
 	}
 
+	if header.Declinable {
+		s.codec.SetDeclinable(packet, false) // only agents know the mark
+	}
+
 	s.execute(header.Key(), header, s.gate.FromClient(time.Now(), forwarder, header, packet), packet)
 	s.startRequests()
 }
@@ -283,6 +287,9 @@
 	case gate.Return:
 		err = s.sendToForwarder(decision.Forwarder,
 			wire.Returned{Load: s.gate.Load(time.Now()), Packet: packet}.Append(s.buffer[:0]))
+	case gate.Decline:
+		declined := wire.Declined{Returned: wire.Returned{Load: s.gate.Load(time.Now()), Packet: packet}}
+		err = s.sendToForwarder(decision.Forwarder, declined.Append(s.buffer[:0]))
 	case gate.Reset:
 		err = s.sendToClient(key, s.codec.AppendReset(s.buffer[:0], key, header.Acknowledged))
 	case gate.Drop, gate.Hold:
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -47,6 +47,7 @@
 	KindCheckpointed                 // a checkpoint.Acknowledgement, to an agent
 	KindRestore                      // Restore, to a controller
 	KindRestoreReply                 // the checkpoint batches of the agent, concatenated
+	KindDeclined                     // Declined, to an entry instance
 )
 
 // ErrorKind classifies an Error.
@@ -210,6 +211,19 @@
 	return Returned{Load: parseLoad(body), Packet: body[loadBytes:]}, nil
 }
 
+// Declined hands back a declinable packet, because all slots of the sender's backend
+// server are taken.
+type Declined struct{ Returned }
+
+// Append appends the message to the buffer.
+func (d Declined) Append(buffer []byte) []byte {
+	start := len(buffer)
+	buffer = d.Returned.Append(buffer)
+	buffer[start] = byte(KindDeclined)
+
+	return buffer
+}
+
 // Found reports that the sender's backend server holds a flow for which the sender
 // answered Unsure to an earlier Locate.
 type Found struct{ Key flow.Key }
--- a/internal/protocol/wire/wire_test.go
+++ b/internal/protocol/wire/wire_test.go
@@ -52,6 +52,10 @@
 		is.NoErr(err)
 		is.Equal(got, want)
 
+		declined, err := wire.ParseReturned(splitBody(t, wire.Declined{Returned: want}.Append(nil), wire.KindDeclined))
+		is.NoErr(err)
+		is.Equal(declined, want)
+
 		_, err = wire.ParseReturned([]byte{1, 2, 3, 4})
 		is.True(err != nil)
 	})
--- a/internal/state/flow/flow.go
+++ b/internal/state/flow/flow.go
@@ -83,6 +83,10 @@
 	Reset    bool // resets the flow
 	Returned bool // a backend server returned the packet: it does not hold the flow, or cannot accept it
 
+	// Declinable marks an opening packet that an agent without a free slot hands
+	// back, because the entry instance knows further agents.
+	Declinable bool
+
 	Sequence     uint32 // of the first byte of data
 	Acknowledged uint32 // next sequence number expected from the other endpoint
 	Length       int    // bytes of data
@@ -121,6 +125,9 @@
 	Decode(packet []byte) (Header, error)
 	// Restore converts a returned packet back to its original form.
 	Restore(packet []byte)
+	// SetDeclinable marks an opening packet on its way from an entry instance to an
+	// agent, or removes the mark.
+	SetDeclinable(packet []byte, declinable bool)
 	// AppendReset appends a packet that resets a flow at its client. The sequence
 	// number is the last one that the client acknowledged.
 	AppendReset(buffer []byte, key Key, sequence uint32) []byte
