--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -139,6 +139,7 @@
 	waitingFlows    int // flows whose client waits for an answer
 	runningRequests int // requests handed over and not answered yet
 	reservations    reservations
+	pointers        pointers
 	queue           queue
 	health          health
 	lastSweep       time.Time
@@ -152,7 +153,7 @@
 func New(config Config, observe func(wait time.Duration)) *Gate {
 	return &Gate{
 		config: config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot, observeWait: observe,
-		queue: newQueue(),
+		queue: newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
 	}
 }
 
@@ -399,6 +400,7 @@
 	}
 
 	g.lastSweep = now
+	g.pointers.expire(now)
 
 	for key, h := range g.flows {
 		idle := now.Sub(h.lastPacket)
--- a/internal/coordination/gate/load_test.go
+++ b/internal/coordination/gate/load_test.go
@@ -198,7 +198,7 @@
 	c := &simulatedClient{sentAt: r.now}
 	r.period(c).sent++
 	r.openFlow(c)
-	r.after(time.Duration(r.load.timeout), func() { r.expire(c) })
+	r.after(r.load.timeout, func() { r.expire(c) })
 	r.after(time.Duration(r.random.ExpFloat64()/perSecond*float64(time.Second)), r.arrive)
 }
 
@@ -278,7 +278,7 @@
 			r.after(networkDelay, func() { r.toAgent(router, r.agents[action.To], header, packet) })
 		case steering.Reset:
 			r.after(clientDelay, func() { r.reset(action.Key) })
-		case steering.Locate:
+		case steering.Locate, steering.GiveUp, steering.Point:
 		}
 	}
 
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"jayspindle/internal/state/flow"
@@ -18,6 +19,18 @@
 	inconclusive                       // the last search could not prove that the flow is lost
 )
 
+// searchStage is the group of agents that a search asks next.
+type searchStage uint8
+
+const (
+	askFirst      searchStage = iota // the first agent by rank, which has a pointer to a lasting flow
+	askCandidates                    // the candidates for a new flow
+	askNextRanks                     // the agents of the next ranks
+	probeUnsure                      // a few unsure ones get a packet
+	askOthers                        // all other agents, to prove that the flow is lost
+	probeRest                        // the remaining unsure ones get a packet
+)
+
 // entry is one flow in the flow table.
 type entry struct {
 	state      entryState
@@ -27,10 +40,24 @@
 	// An agent never acquires a flow that was opened elsewhere, so they are not asked again.
 	denied        []flow.Endpoint
 	resultExpires time.Time // when the result of an unsuccessful search expires
+	probes        int       // packets sent to unsure agents since probesSince
+	probesSince   time.Time
+	assignedAt    time.Time
+	pointer       pointerPlace // where other entry instances find the agent of the flow
+	membership    uint64       // the Router's when the pointer was last checked
 
 	*pending // nil once the flow is assigned or its search has ended
 }
 
+// pointerPlace is a start of an agent that keeps a pointer.
+type pointerPlace struct {
+	agent flow.Endpoint
+	boot  uint64
+}
+
+// hasDenied reports whether an agent does not hold the flow according to its answer.
+func (e *entry) hasDenied(agent flow.Endpoint) bool { return slices.Contains(e.denied, agent) }
+
 // pending is the additional state of a flow whose agent is not known yet.
 type pending struct {
 	deadline     time.Time
@@ -43,9 +70,12 @@
 	offers       int             // agents that got the first packet and may still answer
 	declined     []flow.Endpoint // agents that had no free slot for the flow
 	declinable   bool            // the last offer lets the agent decline
-	askedLikely  bool            // the likely agents have been asked
-	probing      bool            // the packets were sent to an unsure agent
-	incomplete   bool            // an agent was not asked or did not answer, so the flow is not certain to be lost
+	stage        searchStage
+	searchEnds   time.Time // until when the search waits for bandwidth
+	probing      bool      // a packet was sent to the unsure agent in the field agent
+	// incomplete is why the flow is not certain to be lost although no agent has said
+	// that it holds it; empty if it is.
+	incomplete Reason
 }
 
 // addPacket stores a copy of a packet, because the caller reuses the buffer.
--- a/internal/coordination/steering/fixture_test.go
+++ b/internal/coordination/steering/fixture_test.go
@@ -135,6 +135,18 @@
 	return found
 }
 
+// askedAfterFirst returns the agents that are asked after the first one by rank, which
+// denies that it holds the flow.
+func (f *fixture) askedAfterFirst(key flow.Key, actions []steering.Action) (first flow.Endpoint, next []flow.Endpoint) {
+	f.Helper()
+	f.is.Helper()
+
+	asked := f.askedAgents(key, actions)
+	f.is.Equal(len(asked), 1)
+
+	return asked[0], f.askedAgents(key, f.answer(asked[0], flow.Absent))
+}
+
 // answer passes the answer of an agent to the last question.
 func (f *fixture) answer(agent flow.Endpoint, answer flow.Answer) []steering.Action {
 	f.Helper()
--- a/internal/coordination/steering/question.go
+++ b/internal/coordination/steering/question.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// likelyBatchDelay is how long a question to the likely agents of a flow waits
+	// candidatesBatchDelay is how long a question to the candidates of a flow waits
 	// for further flows. It delays the client in almost every search.
-	likelyBatchDelay = 3 * time.Millisecond
+	candidatesBatchDelay = 3 * time.Millisecond
+
+	// nextBatchDelay is the corresponding delay for the agents of the next ranks.
+	nextBatchDelay = 15 * time.Millisecond
 
 	// otherBatchDelay is the corresponding delay for all other agents. It is longer because they
 	// only confirm that a flow is lost. After the loss of many instances a question
@@ -37,39 +40,79 @@
 
 // questionBatch collects flows by agent until their questions are sent.
 type questionBatch struct {
-	keys map[flow.Endpoint][]flow.Key
-	due  time.Time // when the questions are sent; zero if the batch is empty
+	delay   time.Duration // until the questions are sent
+	timeout time.Duration // until the answers have to arrive, from then on
+	keys    map[flow.Endpoint][]flow.Key
+	due     time.Time // when the questions are sent; zero if the batch is empty
+}
+
+func newQuestionBatch(delay, timeout time.Duration) questionBatch {
+	return questionBatch{delay: delay, timeout: timeout, keys: make(map[flow.Endpoint][]flow.Key)}
 }
 
-func (b *questionBatch) add(due time.Time, agent flow.Endpoint, key flow.Key) {
+func (b *questionBatch) add(now time.Time, agent flow.Endpoint, key flow.Key) {
 	if b.due.IsZero() {
-		b.due = due
+		b.due = now.Add(b.delay)
 	}
 
 	b.keys[agent] = append(b.keys[agent], key)
 }
 
+// cost returns the bytes on the link, including the answers, that one more flow in
+// the questions to the agents takes. With the delay for all other agents, the headers are shared by so
+// many flows that they do not count.
+func (b *questionBatch) cost(agents []*agent) int {
+	cost := len(agents) * batchedKeyBytes
+
+	for _, a := range agents {
+		if len(b.keys[a.Address]) == 0 && b.delay < otherBatchDelay {
+			cost += questionHeaderBytes
+		}
+	}
+
+	return cost
+}
+
 // questions batches the questions to each agent and keeps those that were sent.
 type questions struct {
-	nextID uint32
-	likely questionBatch
-	others questionBatch
-	sent   map[uint32]sentQuestion
+	nextID     uint32
+	candidates questionBatch
+	nextRanks  questionBatch
+	others     questionBatch
+	sent       map[uint32]sentQuestion
 }
 
 func newQuestions() *questions {
 	return &questions{
-		likely: questionBatch{keys: make(map[flow.Endpoint][]flow.Key)},
-		others: questionBatch{keys: make(map[flow.Endpoint][]flow.Key)},
-		sent:   make(map[uint32]sentQuestion),
+		candidates: newQuestionBatch(candidatesBatchDelay, likelyTimeout),
+		nextRanks:  newQuestionBatch(nextBatchDelay, nextTimeout),
+		others:     newQuestionBatch(otherBatchDelay, otherTimeout),
+		sent:       make(map[uint32]sentQuestion),
 	}
 }
 
+func (q *questions) batches() []*questionBatch {
+	return []*questionBatch{&q.candidates, &q.nextRanks, &q.others}
+}
+
+// due returns when the next batch is due, or zero if all are empty.
+func (q *questions) due() time.Time {
+	var due time.Time
+
+	for _, b := range q.batches() {
+		if due.IsZero() || (!b.due.IsZero() && b.due.Before(due)) {
+			due = b.due
+		}
+	}
+
+	return due
+}
+
 // flush sends the batches that are due.
 func (r *Router) flush(now time.Time) {
 	q := r.questions
 
-	for _, b := range []*questionBatch{&q.likely, &q.others} {
+	for _, b := range q.batches() {
 		if b.due.IsZero() || now.Before(b.due) {
 			continue
 		}
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -25,76 +25,130 @@
 
 	e.state, e.lastPacket = searching, now
 	e.denied = append(e.denied, excluded...)
-	e.pending = &pending{tried: slices.Clone(e.denied)}
+	e.pending = &pending{tried: slices.Clone(e.denied), searchEnds: now.Add(maxSearchTime)}
 	e.addPacket(header, packet)
 
 	r.flows[key] = e
 	r.pendingFlows[key] = e
-	r.askNext(now, target, key, e)
+	r.continueSearch(now, target, key, e)
 }
 
-// askNext asks the next agents for a flow: first the candidates for a new flow with
-// this key, then all others, because the flow may be older than the current route.
-func (r *Router) askNext(now time.Time, target *route.Route, key flow.Key, e *entry) {
-	agents := r.likelyAgents(target, key, e.tried)
-	likely := !e.askedLikely && len(agents) > 0
-	e.askedLikely = true
-
-	batch, delay, timeout, cost := &r.questions.likely, likelyBatchDelay, likelyTimeout, singleQuestionBytes
+// continueSearch continues with the next stage after all asked agents have answered
+// or timed out.
+func (r *Router) continueSearch(now time.Time, target *route.Route, key flow.Key, e *entry) {
+	e.probing = false
 
-	if !likely {
-		agents = r.remainingAgents(e.tried)
-		batch, delay, timeout, cost = &r.questions.others, otherBatchDelay, otherTimeout, batchedKeyBytes
+	for ; e.stage <= probeRest; e.stage++ {
+		if r.runStage(now, target, key, e) {
+			return
+		}
 	}
 
-	if len(agents) > 0 && !r.questionBudget.AllowN(now, len(agents)*cost) {
-		e.incomplete = true
-		agents = nil
+	r.endSearch(now, key, e)
+}
+
+// runStage reports whether the search has to wait for answers or for bandwidth.
+func (r *Router) runStage(now time.Time, target *route.Route, key flow.Key, e *entry) bool {
+	switch e.stage {
+	case askFirst:
+		first := r.firstAgent(key)
+
+		return first != nil && r.ask(now, key, e, []*agent{first}, &r.questions.candidates)
+	case askCandidates:
+		return r.ask(now, key, e, r.nearAgents(target, key, maxCandidates), &r.questions.candidates)
+	case askNextRanks:
+		return r.ask(now, key, e, r.nearAgents(target, key, maxCandidates+maxNextAgents), &r.questions.nextRanks)
+	case probeUnsure:
+		return r.probe(now, key, e, maxEarlyProbes)
+	case askOthers:
+		return r.ask(now, key, e, r.allAgents(), &r.questions.others)
+	default:
+		// The flow can only be held by an agent that is unsure.
+		return e.incomplete == ReasonNone && r.probe(now, key, e, maxProbes)
 	}
+}
 
+// ask asks those of the agents that were not asked before. It reports whether answers
+// are awaited, or whether it has to be called again because bandwidth is lacking.
+func (r *Router) ask(now time.Time, key flow.Key, e *entry, agents []*agent, batch *questionBatch) bool {
+	agents = slices.DeleteFunc(agents, func(a *agent) bool { return slices.Contains(e.tried, a.Address) })
 	if len(agents) == 0 {
-		r.endSearch(now, key, e)
+		return false
+	}
 
-		return
+	budget := r.nearBudget
+	if batch == &r.questions.others {
+		budget = r.otherBudget
+	}
+
+	if !budget.AllowN(now, batch.cost(agents)) {
+		if batch != &r.questions.others && now.Before(e.searchEnds) {
+			e.deadline = now.Add(budgetRetryInterval)
+
+			return true
+		}
+
+		e.incomplete = ReasonBandwidth
+
+		return false
 	}
 
 	for _, a := range agents {
 		e.tried = append(e.tried, a.Address)
 		e.awaiting = append(e.awaiting, a.Address)
-		batch.add(now.Add(delay), a.Address, key)
+		batch.add(now, a.Address, key)
 	}
 
-	e.deadline = batch.due.Add(timeout)
-}
+	if batch == &r.questions.others {
+		r.counters.OtherQuestions += uint64(len(agents))
+	} else {
+		r.counters.NearQuestions += uint64(len(agents))
+	}
 
-// likelyAgents returns the candidates for a new flow of the key that were not tried yet.
-func (r *Router) likelyAgents(target *route.Route, key flow.Key, tried []flow.Endpoint) []*agent {
-	var found []*agent
+	e.deadline = batch.due.Add(batch.timeout)
 
-	for _, a := range r.services[target.Pick(key.Hash())] {
-		if !slices.Contains(tried, a.Address) {
-			found = append(found, a)
-		}
-	}
+	return true
+}
 
+// nearAgents returns the first agents by rendezvous rank of the service that a new flow
+// of the key would go to.
+func (r *Router) nearAgents(target *route.Route, key flow.Key, limit int) []*agent {
+	found := slices.Clone(r.services[target.Pick(key.Hash())])
 	sortByRendezvous(found, key.Hash())
 
-	return found[:min(maxCandidates, len(found))]
+	return found[:min(limit, len(found))]
 }
 
-// remainingAgents returns the agents that were not tried yet.
-func (r *Router) remainingAgents(tried []flow.Endpoint) []*agent {
-	var found []*agent
-
-	for address, a := range r.agents {
-		if !slices.Contains(tried, address) {
-			found = append(found, a)
-		}
+func (r *Router) allAgents() []*agent {
+	found := make([]*agent, 0, len(r.agents))
+	for _, a := range r.agents {
+		found = append(found, a)
 	}
 
 	return found
 }
 
+// probe sends the first packet to the next unsure agent, and reports false if there
+// is none, or if limit agents have got one recently.
+func (r *Router) probe(now time.Time, key flow.Key, e *entry, limit int) bool {
+	if now.Sub(e.probesSince) > probeWindow {
+		e.probes, e.probesSince = 0, now
+	}
+
+	if len(e.unsure) == 0 || e.probes >= limit {
+		return false
+	}
+
+	e.agent, e.unsure = e.unsure[0], e.unsure[1:]
+	e.probing = true
+	e.probes++
+	e.deadline = now.Add(probeTimeout)
+	r.counters.Probes++
+	r.forward(key, e.agent, e.packets[0])
+
+	return true
+}
+
 // handleAnswer handles the answer of an agent about one flow.
 func (r *Router) handleAnswer(now time.Time, from flow.Endpoint, key flow.Key, answer flow.Answer) {
 	e := r.flows[key]
@@ -144,7 +198,7 @@
 func (r *Router) handleFound(now time.Time, key flow.Key, e *entry, holder flow.Endpoint) {
 	packets := e.packets
 	if e.probing && e.agent == holder {
-		packets = nil // it has them already
+		packets = packets[1:] // it has the first one already
 	}
 
 	r.assign(now, key, e, holder)
@@ -154,28 +208,10 @@
 	}
 }
 
-// continueSearch continues after all asked agents have answered or timed out: it
-// probes unsure agents one after the other, then asks further agents.
-func (r *Router) continueSearch(now time.Time, target *route.Route, key flow.Key, e *entry) {
-	if len(e.unsure) == 0 {
-		e.probing = false
-		r.askNext(now, target, key, e)
-
-		return
-	}
-
-	e.agent, e.unsure = e.unsure[0], e.unsure[1:]
-	e.probing = true
-	e.deadline = now.Add(probeTimeout)
-
-	for _, packet := range e.packets {
-		r.forward(key, e.agent, packet)
-	}
-}
-
 // handleProbeReturned continues the search if the probed agent returned a packet.
 func (r *Router) handleProbeReturned(now time.Time, target *route.Route, key flow.Key, e *entry, from flow.Endpoint) {
 	if e.probing && e.agent == from {
+		e.denied = append(e.denied, from)
 		r.continueSearch(now, target, key, e)
 	}
 }
@@ -183,14 +219,14 @@
 // endSearch ends a search without success. The flow is reset at its client only if
 // it is certainly lost.
 func (r *Router) endSearch(now time.Time, key flow.Key, e *entry) {
-	sequence, certain := e.acknowledged, !e.incomplete && r.recentlyConfirmed(now) && len(r.agents) > 0
+	sequence, uncertain := e.acknowledged, r.whyUncertain(now, e)
 
 	delete(r.pendingFlows, key)
 
 	e.pending = nil
 	r.counters.Lost++
 
-	if certain {
+	if uncertain == ReasonNone {
 		e.state, e.resultExpires = lost, now.Add(lostTTL)
 		r.reset(key, sequence, ReasonNotHeld)
 
@@ -198,14 +234,27 @@
 	}
 
 	e.state, e.resultExpires = inconclusive, now.Add(inconclusiveTTL)
+	r.addAction(Action{Kind: GiveUp, Key: key, Reason: uncertain})
+}
+
+// whyUncertain returns why a flow that was not found may exist, or ReasonNone if it
+// is lost.
+func (r *Router) whyUncertain(now time.Time, e *entry) Reason {
+	switch {
+	case e.incomplete != ReasonNone:
+		return e.incomplete
+	case len(e.unsure) > 0:
+		return ReasonUnsure
+	case !r.recentlyConfirmed(now) || len(r.agents) == 0:
+		return ReasonOutdated
+	default:
+		return ReasonNone
+	}
 }
 
 // Due returns when Tick has to be called next, and false if nothing is pending.
 func (r *Router) Due() (time.Time, bool) {
-	due := r.questions.likely.due
-	if others := r.questions.others.due; due.IsZero() || (!others.IsZero() && others.Before(due)) {
-		due = others
-	}
+	due := r.questions.due()
 
 	for _, e := range r.pendingFlows {
 		if due.IsZero() || e.deadline.Before(due) {
@@ -241,6 +290,8 @@
 		r.handleTimeout(now, target, key, e)
 	}
 
+	r.placePointers(now)
+
 	if now.Sub(r.lastSweep) >= sweepInterval {
 		r.sweep(now)
 	}
@@ -258,7 +309,10 @@
 	// An unsure agent whose backend server holds the flow but sends nothing looks
 	// like one whose backend server has ended. Found reports the flow when the
 	// backend server sends its next packet.
-	e.incomplete = e.incomplete || e.probing || !r.allSilent(e.awaiting)
+	if e.probing || !r.allSilent(e.awaiting) {
+		e.incomplete = ReasonSilent
+	}
+
 	e.awaiting = nil
 	r.continueSearch(now, target, key, e)
 }
@@ -289,6 +343,7 @@
 	for address, a := range r.agents {
 		if !a.missingSince.IsZero() && now.Sub(a.missingSince) > roster.GoneTimeout {
 			delete(r.agents, address)
+			r.membership++
 		}
 	}
 
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"jayspindle/internal/coordination/steering"
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/roster"
@@ -15,15 +19,16 @@
 func TestSearchFinds(t *testing.T) {
 	f := newFixture(t, 5)
 	key := client(1)
-	f.is.Equal(len(f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))), 5)
+	_, asked := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+	f.is.Equal(len(asked), 4)
 	f.is.Equal(len(f.router.Packet(f.now, requestHeader(key, 1), []byte("two"))), 0)
-	f.is.Equal(len(f.answer(address(2), flow.Absent)), 0)
+	f.is.Equal(len(f.answer(asked[0], flow.Absent)), 0)
 
-	actions := f.answer(address(4), flow.Held)
+	actions := f.answer(asked[1], flow.Held)
 	f.is.Equal(len(actions), 2)
-	f.is.Equal(actions[0].To, address(4))
+	f.is.Equal(actions[0].To, asked[1])
 	f.is.Equal(string(actions[0].Packet)+string(actions[1].Packet), "onetwo")
-	f.is.Equal(f.checkOne(f.router.Packet(f.now, requestHeader(key, 1), []byte("three")), steering.Forward).To, address(4))
+	f.is.Equal(f.checkOne(f.router.Packet(f.now, requestHeader(key, 1), []byte("three")), steering.Forward).To, asked[1])
 }
 
 // TestSearchLost guards against clients that wait for a flow that no agent holds,
@@ -31,10 +36,9 @@
 func TestSearchLost(t *testing.T) {
 	f := newFixture(t, 2)
 	key := client(1)
-	f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 42), []byte("one")))
-	f.answer(address(1), flow.Absent)
+	_, asked := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 42), []byte("one")))
 
-	reset := f.checkOne(f.answer(address(2), flow.Absent), steering.Reset)
+	reset := f.checkOne(f.answer(asked[0], flow.Absent), steering.Reset)
 	f.is.Equal(reset.Sequence, uint32(42))
 	f.is.Equal(
 		f.checkOne(f.router.Packet(f.now, requestHeader(key, 43), []byte("two")), steering.Reset).Sequence, uint32(43),
@@ -50,28 +54,29 @@
 	t.Run("silent agent", func(t *testing.T) {
 		f := newFixture(t, 2)
 		key := client(1)
-		f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
-		f.answer(address(1), flow.Absent)
+		_, silent := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
 
 		due, ok := f.router.Due()
 		f.is.True(ok)
-		f.is.Equal(len(f.router.Tick(due)), 0)
+		f.is.Equal(f.checkOne(f.router.Tick(due), steering.GiveUp).Reason, steering.ReasonSilent)
 
 		// The next retransmission starts a search of the agents that have not denied
 		// the flow.
 		f.now = due.Add(200 * time.Millisecond)
 		asked := f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
-		f.is.Equal(asked, []flow.Endpoint{address(2)})
+		f.is.Equal(asked, silent)
 	})
 
 	t.Run("lost instance", func(t *testing.T) {
 		f := newFixture(t, 2)
 		key := client(1)
-		f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
-		f.answer(address(1), flow.Absent)
+		_, silent := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
 
-		lost := agents(2, roster.Silent)[1:]
-		f.router.Apply(f.now, lost, false)
+		for _, record := range agents(2, roster.Silent) {
+			if record.Address == silent[0] {
+				f.router.Apply(f.now, []roster.Record{record}, false)
+			}
+		}
 
 		due, _ := f.router.Due()
 		f.checkOne(f.router.Tick(due), steering.Reset)
@@ -82,7 +87,7 @@
 		key := client(1)
 		f.now = f.now.Add(10 * time.Second)
 		f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
-		f.is.Equal(len(f.answer(address(1), flow.Absent)), 0)
+		f.is.Equal(f.checkOne(f.answer(address(1), flow.Absent), steering.GiveUp).Reason, steering.ReasonOutdated)
 	})
 }
 
@@ -91,21 +96,21 @@
 func TestSearchUnsure(t *testing.T) {
 	f := newFixture(t, 3)
 	key := client(1)
-	f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 9), []byte("one")))
-	f.answer(address(1), flow.Unsure)
-	f.answer(address(2), flow.Absent)
+	first := f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 9), []byte("one")))[0]
+	next := f.askedAgents(key, f.answer(first, flow.Unsure))
+	f.answer(next[0], flow.Absent)
 
-	probe := f.checkOne(f.answer(address(3), flow.Unsure), steering.Forward)
-	f.is.Equal(probe.To, address(1))
+	probe := f.checkOne(f.answer(next[1], flow.Unsure), steering.Forward)
+	f.is.Equal(probe.To, first)
 
 	probe = f.checkOne(
-		f.router.Returned(f.now, address(1), requestHeader(key, 9), []byte("one"), roster.Load{}), steering.Forward,
+		f.router.Returned(f.now, first, requestHeader(key, 9), []byte("one"), roster.Load{}), steering.Forward,
 	)
-	f.is.Equal(probe.To, address(3))
+	f.is.Equal(probe.To, next[1])
 
 	// The backend server answers: its agent reports the flow.
-	f.is.Equal(len(f.router.Found(f.now, address(3), key)), 0)
-	f.is.Equal(f.checkOne(f.router.Packet(f.now, requestHeader(key, 9), []byte("two")), steering.Forward).To, address(3))
+	f.is.Equal(len(f.router.Found(f.now, next[1], key)), 0)
+	f.is.Equal(f.checkOne(f.router.Packet(f.now, requestHeader(key, 9), []byte("two")), steering.Forward).To, next[1])
 }
 
 // TestSearchWaves guards against questions to every agent of a large deployment
@@ -116,21 +121,266 @@
 	holder := f.openFlow(key)
 
 	other := newFixture(t, 60) // another entry instance
-	asked := other.askedAgents(key, other.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+	first, asked := other.askedAfterFirst(key, other.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
 	f.is.True(len(asked) <= 16)
+	f.is.True(holder == first || slices.Contains(asked, holder))
 
-	found := false
-	for _, agent := range asked {
-		found = found || agent == holder
+	for _, agent := range asked[1:] {
+		other.answer(agent, flow.Absent)
 	}
 
-	f.is.True(found)
+	next := other.askedAgents(key, other.answer(asked[0], flow.Absent))
+	f.is.True(len(next) > 0 && len(next) <= 24)
 
-	for _, agent := range asked[1:] {
+	for _, agent := range next[1:] {
 		other.answer(agent, flow.Absent)
 	}
 
-	f.is.Equal(len(other.askedAgents(key, other.answer(asked[0], flow.Absent))), 60-len(asked))
+	f.is.Equal(len(other.askedAgents(key, other.answer(next[0], flow.Absent))), 60-1-len(asked)-len(next))
+}
+
+// churn replays a deployment in which a share of the agents is replaced while the
+// entry instances restart: each flow was opened by one that had the earlier list, and
+// another one with the current list gets its next packet. Pointers are those that the
+// first one has left with the agents, if any.
+func churn(
+	t *testing.T, count int, replaced float64, pointers bool,
+) (found, flows int, counters steering.Counters) {
+	t.Helper()
+
+	const flowCount = 400
+
+	before, after := newFixture(t, count), newFixture(t, 0)
+	changed := int(replaced * float64(count))
+
+	records := agents(count+changed, roster.Ready)[changed:] // the first ones have left
+	after.router = steering.New(steering.Config{Boot: start, LinkBytesPerSecond: 1e9})
+	after.router.SetTable(table(t, 1, toService("desk")))
+	after.router.Apply(after.now, records, true)
+	after.router.Confirm(after.now)
+
+	holders := make(map[flow.Key]flow.Endpoint)
+	pointed := make(map[flow.Key]steering.Action)
+
+	for number := range flowCount {
+		holders[client(number)] = before.openFlow(client(number))
+	}
+
+	if pointers {
+		before.router.Apply(before.now, records, true)
+
+		for range 4 {
+			before.now = before.now.Add(time.Second)
+			for _, action := range before.router.Tick(before.now) {
+				pointed[action.Key] = action
+			}
+		}
+	}
+
+	for key, holder := range holders {
+		if number := int(holder.IP[2])<<8 | int(holder.IP[3]); number <= changed {
+			continue // left with its backend server
+		}
+
+		flows++
+
+		after.router.Packet(after.now, requestHeader(key, 1), []byte("one"))
+
+		for range 3 { // the first agent, the candidates and the next ranks
+			due, waiting := after.router.Due()
+			if !waiting {
+				break
+			}
+
+			after.now = due
+
+			for _, action := range after.router.Tick(after.now) {
+				answer := flow.Absent
+				if action.To == holder {
+					answer = flow.Held
+				}
+
+				if pointer, ok := pointed[key]; ok && pointer.To == action.To {
+					found += countForwards(after.router.Pointed(after.now, key, pointer.Holder), holder)
+				}
+
+				found += countForwards(
+					after.router.Located(after.now, action.To, action.Question.ID, []flow.Answer{answer}), holder)
+			}
+		}
+
+		after.now = after.now.Add(2 * time.Second)
+		after.router.Tick(after.now)
+	}
+
+	return found, flows, after.router.Counters()
+}
+
+func countForwards(actions []steering.Action, to flow.Endpoint) int {
+	count := 0
+
+	for _, action := range actions {
+		if action.Kind == steering.Forward && action.To == to {
+			count++
+		}
+	}
+
+	return count
+}
+
+// TestSearchGrowth guards against searches that cost more the more agents there are,
+// as they did when all agents were asked for each flow that was not at one of the
+// first candidates: at 204 agents of which 30% were replaced, searches took more than
+// the bandwidth of an entry instance.
+func TestSearchGrowth(t *testing.T) {
+	for name, c := range map[string]struct {
+		pointers bool
+		limit    float64 // questions for each flow that was found
+	}{
+		"with pointers": {true, 2}, "after the loss of all pointers": {false, 24},
+	} {
+		for _, count := range []int{30, 100, 300, 2600} {
+			t.Run(name+" of "+strconv.Itoa(count)+" agents", func(t *testing.T) {
+				found, flows, counters := churn(t, count, 0.3, c.pointers)
+				is := is.New(t)
+				is.True(flows > 200)
+				is.Equal(found, flows)
+				is.Equal(counters.OtherQuestions, uint64(0))
+
+				if perFlow := float64(counters.NearQuestions) / float64(flows); perFlow > c.limit {
+					t.Errorf("%.1f questions for each flow that was found, at most %.0f are allowed", perFlow, c.limit)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSearch reports the questions for each flow that was found while 30% of the
+// agents are replaced.
+func BenchmarkSearch(b *testing.B) {
+	for _, count := range []int{30, 100, 300, 2600, 26_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			for range b.N {
+				found, _, counters := churn(&testing.T{}, count, 0.3, true)
+				b.ReportMetric(float64(counters.NearQuestions)/float64(found), "questions/flow")
+			}
+		})
+	}
+}
+
+// TestPointer guards against a flow that is not found because the service has grown
+// many times over since it was opened, or because its route now leads to another
+// service, and against a pointer that is followed again after the agent has denied the
+// flow.
+func TestPointer(t *testing.T) {
+	f := newFixture(t, 3)
+	key := client(1)
+	holder := f.openFlow(key)
+
+	f.router.Apply(f.now, agents(600, roster.Ready), true)
+	f.now = f.now.Add(2 * time.Second)
+
+	point := f.checkOne(f.router.Tick(f.now), steering.Point)
+	f.is.Equal(point.Holder, holder)
+
+	f.now = f.now.Add(2 * time.Second)
+	f.is.Equal(len(f.router.Tick(f.now)), 0) // it is placed once
+
+	other := newFixture(t, 600)
+	asked := other.askedAgents(key, other.router.Packet(other.now, requestHeader(key, 1), []byte("one")))
+	f.is.Equal(asked, []flow.Endpoint{point.To})
+	f.is.Equal(other.checkOne(other.router.Pointed(other.now, key, holder), steering.Forward).To, holder)
+
+	returned := other.router.Returned(other.now, holder, requestHeader(key, 1), []byte("one"), roster.Load{})
+	f.is.Equal(other.askedAgents(key, returned), []flow.Endpoint{point.To})
+	f.is.Equal(len(other.router.Pointed(other.now, key, holder)), 0)
+
+	// Another document sends new flows to another service; this one stays.
+	other = newFixture(t, 600)
+	other.router.SetTable(table(t, 2, toService("link")))
+	asked = other.askedAgents(key, other.router.Packet(other.now, requestHeader(key, 1), []byte("one")))
+	f.is.Equal(asked, []flow.Endpoint{point.To})
+	f.is.Equal(other.checkOne(other.router.Pointed(other.now, key, holder), steering.Forward).To, holder)
+
+	// The agent that kept the pointer has restarted.
+	restarted := agents(600, roster.Ready)
+	for i := range restarted {
+		if restarted[i].Address == point.To {
+			restarted[i].Boot = 2
+		}
+	}
+
+	f.router.Apply(f.now, restarted, false)
+	f.now = f.now.Add(2 * time.Second)
+	f.is.Equal(f.checkOne(f.router.Tick(f.now), steering.Point).To, point.To)
+}
+
+// TestUnsureAgents guards against packets of an open flow that reach several other
+// backend servers because their agents have just started, while the agent that holds
+// the flow has not been asked yet.
+func TestUnsureAgents(t *testing.T) {
+	f := newFixture(t, 60)
+	key := client(1)
+	first := f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))[0]
+	asked := f.askedAgents(key, f.answer(first, flow.Unsure))
+
+	for _, agent := range asked[1:] {
+		f.is.Equal(len(f.answer(agent, flow.Unsure)), 0)
+	}
+
+	unsure := 1 + len(asked)
+	asked = f.askedAgents(key, f.answer(asked[0], flow.Unsure))
+
+	var actions []steering.Action
+	for _, agent := range asked {
+		actions = f.answer(agent, flow.Absent)
+	}
+
+	for range 2 {
+		probe := f.checkOne(actions, steering.Forward)
+		actions = f.router.Returned(f.now, probe.To, requestHeader(key, 1), []byte("one"), roster.Load{})
+	}
+
+	for _, agent := range f.askedAgents(key, actions) {
+		actions = f.answer(agent, flow.Absent)
+	}
+
+	probes := 2
+	for ; len(actions) == 1 && actions[0].Kind == steering.Forward; probes++ {
+		actions = f.router.Returned(f.now, actions[0].To, requestHeader(key, 1), []byte("one"), roster.Load{})
+	}
+
+	f.is.Equal(probes, unsure) // no other agent holds the flow, so one of them does or it is lost
+	f.checkOne(actions, steering.Reset)
+}
+
+// TestSearchWaits guards against packets that are dropped because many flows moved to
+// an entry instance at once, so that their clients wait for a retransmission.
+func TestSearchWaits(t *testing.T) {
+	const flows = 200
+
+	f := newFixture(t, 0)
+	f.router = steering.New(steering.Config{Boot: start, LinkBytesPerSecond: 2e6 / 8})
+	f.router.SetTable(table(t, 1, toService("desk")))
+	f.router.Apply(f.now, agents(204, roster.Ready), true)
+	f.router.Confirm(start)
+
+	for number := range flows {
+		f.router.Packet(start.Add(time.Duration(number)*time.Millisecond), requestHeader(client(number), 1), []byte("one"))
+	}
+
+	asked := make(map[flow.Key]bool)
+
+	for now := start; now.Before(start.Add(time.Second)); now = now.Add(5 * time.Millisecond) {
+		for _, action := range f.router.Tick(now) {
+			for _, key := range action.Question.Keys {
+				asked[key] = true
+			}
+		}
+	}
+
+	f.is.Equal(f.router.Counters().Dropped, uint64(0))
+	f.is.True(len(asked) > flows/4) // within a second, at a tenth of the link
 }
 
 // TestSearchBudget guards against searches that fill the link after the loss of all
@@ -177,7 +427,9 @@
 
 	gone := roster.Record{Address: holder, State: roster.Gone}
 	f.router.Apply(f.now, []roster.Record{gone}, false)
-	f.is.Equal(len(f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))), 2)
+
+	_, next := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+	f.is.Equal(len(next), 1) // the other two
 }
 
 // TestMissingAgent guards against the reset of open flows when the list comes from
@@ -205,7 +457,9 @@
 	// An agent that stays absent is removed.
 	f.now = f.now.Add(roster.GoneTimeout + time.Second)
 	f.router.Tick(f.now)
-	f.is.Equal(len(f.askedAgents(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))), 2)
+
+	_, next := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+	f.is.Equal(len(next), 1) // the other two
 }
 
 // TestRandomEvents guards against inconsistent flow tables when agents are added,
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -9,7 +9,8 @@
 //	for _, action := range router.Packet(now, header, packet) { ... }
 //	for _, action := range router.Tick(now) { ... }
 //
-// The answers of agents are passed to Accepted, Returned, Located and Found.
+// The answers of agents are passed to Accepted, Declined, Returned, Located, Pointed
+// and Found.
 //
 // # New flows
 //
@@ -24,12 +25,20 @@
 //
 // The flow table is only a cache, because a flow may move to another entry
 // instance at any time. A packet of an unknown flow is kept while the agents
-// that may hold the flow are asked: the likely ones first, then all others.
-// Agents know the flows of their backend servers; an agent that has restarted
-// may be unsure and gets the packet only if no other agent holds the flow. The
-// flow is reset only if every agent has denied holding it. Searches have a
-// bandwidth budget, because after the loss of all instances every client sends
-// packets of a flow that no agent holds.
+// that may hold the flow are asked, by rendezvous rank: the first one, with which entry
+// instances leave pointers to lasting flows, then those that would get it as a new
+// flow, then those that would get it if a part of the agents were replaced. The
+// number of these questions does not depend on the number of agents. All other
+// agents are asked only to prove that a flow is lost: it is reset only if every agent
+// has denied holding it.
+//
+// Agents know the flows of their backend servers; an agent that has restarted may be
+// unsure. Its backend server gets the packet if none of the near agents holds the
+// flow, and further unsure ones only if no other agent at all does.
+//
+// Searches have bandwidth budgets, because after the loss of all instances every
+// client sends packets of a flow that no agent holds. The proof that a flow is lost
+// has a budget of its own, so that lost flows do not delay the others.
 package steering
 
 import (
@@ -67,6 +76,9 @@
 	// hold a flow. They answer without asking their backend servers.
 	likelyTimeout = 60 * time.Millisecond
 
+	// nextTimeout is the corresponding timeout for the agents of the next ranks.
+	nextTimeout = 100 * time.Millisecond
+
 	// otherTimeout is the corresponding timeout for all other agents. It exceeds the queueing delay
 	// of a full link, so that no agent is asked twice.
 	otherTimeout = 400 * time.Millisecond
@@ -107,23 +119,54 @@
 	// search: clients retransmit packets after 200 ms.
 	inconclusiveTTL = 180 * time.Millisecond
 
-	// singleQuestionBytes is the size of a question about one flow and its answer on
-	// a link, including headers.
-	singleQuestionBytes = 2 * 60
+	// questionHeaderBytes is the size of a question and its answer on a link without
+	// the flows: the headers of IP and UDP, the fragment and the message, twice.
+	questionHeaderBytes = 2 * 54
 
-	// batchedKeyBytes is the size of one flow in a question about many.
-	batchedKeyBytes = 14
+	// batchedKeyBytes is the size of one flow in a question and its answer.
+	batchedKeyBytes = flow.KeyBytes + 1
 
-	// questionLinkShare is the share of the link that searches may use, which leaves
-	// room for the traffic of known flows.
-	questionLinkShare = 0.2
+	// nearLinkShare and otherLinkShare are the shares of the link that questions to
+	// the near agents and to all others may use. They leave room for the traffic of
+	// known flows.
+	nearLinkShare  = 0.06
+	otherLinkShare = 0.03
+
+	// nearBurst is the time in which the link sends the questions that are allowed at
+	// once, after many flows have moved to this entry instance.
+	nearBurst = 200 * time.Millisecond
+
+	// otherBurstFlows is the number of flows about which all other agents may be asked
+	// at once.
+	otherBurstFlows = 4
 
 	// defaultLinkBytesPerSecond is the link rate if the configuration states none.
 	defaultLinkBytesPerSecond = 1e6
 
-	// questionBurstBytes allows 128 searches of the 65 agents of the largest deployment
-	// in use.
-	questionBurstBytes = 128 * 65 * batchedKeyBytes
+	// maxNextAgents is the number of agents that are asked after the candidates for a
+	// new flow. When a part of the agents of a service are replaced, those with new
+	// ranks below that of a flow's agent are about as many as those that have left, so
+	// its rank changes by a few. Only if the service grows several times over within
+	// the lifetime of a flow is its rank likely to exceed maxCandidates + maxNextAgents.
+	maxNextAgents = 24
+
+	// maxEarlyProbes limits the unsure agents that get a packet of a flow within
+	// probeWindow while an agent that has not been asked may hold it: packets of an open
+	// flow must not go to other backend servers for seconds.
+	maxEarlyProbes = 2
+	probeWindow    = 2500 * time.Millisecond
+
+	// maxProbes is the corresponding limit once all other agents have denied the flow.
+	// After a restart of all agents everyone is unsure, and packets to each of them
+	// filled the links of 2 Mbit/s.
+	maxProbes = maxCandidates
+
+	// maxSearchTime is how long a search waits for bandwidth. Clients retransmit
+	// packets after 200 ms at first, so several of them are kept by then.
+	maxSearchTime = time.Second
+
+	// budgetRetryInterval is how often a search that waits for bandwidth tries again.
+	budgetRetryInterval = 40 * time.Millisecond
 
 	// maxCandidates is the number of agents of which the least loaded gets a new flow.
 	maxCandidates = 8
@@ -154,6 +197,8 @@
 	Forward ActionKind = iota + 1 // send Packet to the agent at To
 	Reset                         // reset the flow at its client
 	Locate                        // ask the agent at To whether it holds the flows of Question
+	GiveUp                        // the packets of a flow were dropped, nothing is to be sent
+	Point                         // tell the agent at To that Holder holds the flow
 )
 
 // Reason is why a flow was refused, moved or reset, as it appears in logs.
@@ -168,6 +213,12 @@
 	ReasonNoAnswer Reason = "the agent did not answer"
 	ReasonNotHeld  Reason = "no agent holds the flow"
 	ReasonOverload Reason = "too many flows wait for a decision"
+
+	// Reasons why a search can neither find a flow nor prove that it is lost.
+	ReasonSilent    Reason = "an agent did not answer whether it holds the flow"
+	ReasonBandwidth Reason = "no bandwidth to ask for the flow"
+	ReasonUnsure    Reason = "an agent that has restarted may hold the flow"
+	ReasonOutdated  Reason = "the list of agents is not confirmed"
 )
 
 // Action is a step that the caller of a Router has to carry out.
@@ -179,6 +230,7 @@
 	Question Question
 	Sequence uint32 // of a Reset: last sequence number that the client acknowledged
 	Reason   Reason
+	Holder   flow.Endpoint // of a Point
 	// Declinable marks the opening packet of a Forward as one that an agent without a
 	// free slot hands back.
 	Declinable bool
@@ -191,11 +243,15 @@
 //   - Moved: further offers of a flow after an agent refused it or did not answer.
 //   - Resets: flows reset at their client.
 //   - Located: searches started.
+//   - NearQuestions, OtherQuestions: agents asked about a flow.
+//   - Probes: packets sent to agents that were unsure.
+//   - Pointers: pointers left with agents.
 //   - Lost: searches that found no agent, conclusive or not.
 //   - Dropped: packets dropped, and new flows refused because too many wait.
 //   - Stray: resets from clients for unknown flows.
 type Counters struct {
 	Opened, Declined, Moved, Resets, Located, Lost, Dropped, Stray uint64
+	NearQuestions, OtherQuestions, Probes, Pointers                uint64
 }
 
 // agent is the state of one agent as known to a router.
@@ -227,8 +283,11 @@
 	flows          map[flow.Key]*entry
 	pendingFlows   map[flow.Key]*entry
 	lastSweep      time.Time
+	membership     uint64 // increases when agents come, go or restart
+	pointersPlaced time.Time
 	questions      *questions
-	questionBudget *rate.Limiter // in bytes
+	nearBudget     *rate.Limiter // in bytes
+	otherBudget    *rate.Limiter // in bytes
 	actions        []Action
 	counters       Counters
 }
@@ -245,14 +304,15 @@
 	}
 
 	return &Router{
-		questionBudget: rate.NewLimiter(rate.Limit(questionLinkShare*link), questionBurstBytes),
-		questions:      newQuestions(),
-		config:         config,
-		agents:         make(map[flow.Endpoint]*agent),
-		services:       make(map[string][]*agent),
-		flows:          make(map[flow.Key]*entry),
-		pendingFlows:   make(map[flow.Key]*entry),
-		lastSweep:      config.Boot,
+		nearBudget:   rate.NewLimiter(rate.Limit(nearLinkShare*link), int(nearBurst.Seconds()*link)),
+		otherBudget:  rate.NewLimiter(rate.Limit(otherLinkShare*link), 0),
+		questions:    newQuestions(),
+		config:       config,
+		agents:       make(map[flow.Endpoint]*agent),
+		services:     make(map[string][]*agent),
+		flows:        make(map[flow.Key]*entry),
+		pendingFlows: make(map[flow.Key]*entry),
+		lastSweep:    config.Boot,
 	}
 }
 
@@ -293,6 +353,7 @@
 	}
 
 	r.indexServices()
+	r.otherBudget.SetBurstAt(now, otherBurstFlows*len(r.agents)*batchedKeyBytes)
 }
 
 func (r *Router) indexServices() {
@@ -305,6 +366,7 @@
 func (r *Router) applyRecord(record roster.Record) {
 	if record.State == roster.Gone {
 		delete(r.agents, record.Address)
+		r.membership++
 
 		return
 	}
@@ -317,6 +379,8 @@
 		r.agents[record.Address] = known
 	}
 
+	r.observeMembership(known, record)
+
 	// An agent that announces itself again after a restart is no longer suspect.
 	if known.Boot != record.Boot {
 		known.suspectUntil = time.Time{}
@@ -452,6 +516,7 @@
 // assign records which agent holds a flow.
 func (r *Router) assign(now time.Time, key flow.Key, e *entry, holder flow.Endpoint) {
 	e.state, e.agent, e.lastPacket, e.pending = assigned, holder, now, nil
+	e.assignedAt, e.membership = now, 0
 	r.flows[key] = e
 
 	delete(r.pendingFlows, key)
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -246,6 +246,13 @@
 		}
 
 		f.execute(f.router.Found(now, sender, found.Key))
+	case wire.KindPointer:
+		pointer, err := wire.ParsePointer(body)
+		if err != nil {
+			return err
+		}
+
+		f.execute(f.router.Pointed(now, pointer.Key, pointer.Holder))
 	case wire.KindReturned, wire.KindDeclined:
 		returned, err := wire.ParseReturned(body)
 		if err != nil {
@@ -302,14 +309,24 @@
 		f.buffer = wire.Locate{ID: action.Question.ID, Keys: action.Question.Keys}.Append(f.buffer[:0])
 		agent := netip.AddrPortFrom(action.To.Addr(), f.settings.ControlAddress.Port())
 		err = f.control.Send(agent, f.buffer)
+	case steering.Point:
+		f.buffer = wire.Pointer{Key: action.Key, Holder: action.Holder}.Append(f.buffer[:0])
+		agent := netip.AddrPortFrom(action.To.Addr(), f.settings.ControlAddress.Port())
+		err = f.control.Send(agent, f.buffer)
+	case steering.GiveUp:
 	}
 
 	if err != nil {
 		f.logger.Debug("could not send a packet", "flow", action.Key.String(), "error", err)
 	}
 
+	message := "moved or refused a flow"
+	if action.Kind == steering.GiveUp {
+		message = "did not find the agent of a flow"
+	}
+
 	if action.Reason != steering.ReasonNone {
-		f.logger.Info("moved or refused a flow", "flow", action.Key.String(), "reason", string(action.Reason),
+		f.logger.Info(message, "flow", action.Key.String(), "reason", string(action.Reason),
 			"agent", action.To.String(), "version", f.router.Version())
 	}
 }
--- a/internal/program/sidecar/checkpointer_test.go
+++ b/internal/program/sidecar/checkpointer_test.go
@@ -28,6 +28,7 @@
 	controller = netip.MustParseAddrPort("127.0.39.2:22001")
 	client     = flow.Endpoint{IP: [4]byte{127, 0, 39, 3}, Port: 40_000}
 	service    = flow.Endpoint{IP: [4]byte{198, 51, 100, 1}, Port: 443}
+	key        = flow.Key{Client: client, Service: service}
 )
 
 // fakeCodec encodes a reset as the text of its flow key, and decodes nothing.
@@ -82,21 +83,30 @@
 	return slices.Index(c.kinds, kind)
 }
 
-// TestRecall guards against clients that get no reset for flows that were lost
-// with the instance, and against a new checkpoint that overwrites the stored one
-// before it was restored.
-func TestRecall(t *testing.T) {
+// fixture is a running agent with one checkpointed flow, and the client of that flow.
+type fixture struct {
+	*testing.T
+	is       *is.I
+	agent    *sidecar.Sidecar
+	fake     *fakeController
+	received chan string // by the client
+	stop     func()
+}
+
+// newFixture starts an agent whose flow belongs to a backend server of that start.
+func newFixture(t *testing.T, flowStart int64) *fixture {
+	t.Helper()
+
 	is := is.New(t)
 	logger := slog.New(slog.DiscardHandler)
 	endpoint, _ := flow.NewEndpoint(agent)
 	seed, _ := flow.NewEndpoint(controller)
-	key := flow.Key{Client: client, Service: service}
 
 	conn, err := frag.Listen(controller, logger)
 	is.NoErr(err)
 
 	fake := &fakeController{conn: conn, stored: checkpoint.Batch{
-		Agent: endpoint, BackendStart: 1000, Epoch: 1, To: 3, Opened: []checkpoint.Flow{{Key: key, Acknowledged: 9}},
+		Agent: endpoint, BackendStart: flowStart, Epoch: 1, To: 3, Opened: []checkpoint.Flow{{Key: key, Acknowledged: 9}},
 	}}
 
 	go conn.Serve(fake.handle)
@@ -120,27 +130,76 @@
 
 	go func() { ended <- s.Run(ctx) }()
 
-	_, err = s.Report(gate.Report{ID: "a", Service: "desk", StartMillis: 2000, Sequence: 1, Slots: 2})
-	is.NoErr(err)
+	t.Cleanup(func() {
+		is.NoErr(receiver.Close())
+		is.NoErr(conn.Close())
+	})
+
+	return &fixture{T: t, is: is, agent: s, fake: fake, received: received, stop: func() {
+		stop()
+		is.NoErr(<-ended)
+	}}
+}
+
+// report passes the first report of a backend server of the start 2000.
+func (f *fixture) report() {
+	f.Helper()
+
+	_, err := f.agent.Report(gate.Report{ID: "a", Service: "desk", StartMillis: 2000, Sequence: 1, Slots: 2})
+	f.is.NoErr(err)
+}
+
+// awaitReset waits until the client gets the reset of its flow.
+func (f *fixture) awaitReset() {
+	f.Helper()
 
 	select {
-	case reset := <-received:
-		is.Equal(reset, key.String())
+	case reset := <-f.received:
+		f.is.Equal(reset, key.String())
 	case <-time.After(timeout):
-		t.Fatal("the client got no reset for its lost flow")
+		f.Fatal("the client got no reset for its lost flow")
 	}
+}
+
+// awaitCheckpoint waits until the agent has sent a checkpoint, which it does after it
+// has recalled its flows.
+func (f *fixture) awaitCheckpoint() {
+	f.Helper()
 
-	for deadline := time.Now().Add(timeout); fake.indexOf(wire.KindCheckpoint) < 0; time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(timeout); f.fake.indexOf(wire.KindCheckpoint) < 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("no checkpoint was sent")
+			f.Fatal("no checkpoint was sent")
 		}
 	}
+}
 
-	is.True(fake.indexOf(wire.KindRestore) < fake.indexOf(wire.KindCheckpoint))
+// TestRecall guards against clients that get no reset for flows that were lost
+// with the instance, and against a new checkpoint that overwrites the stored one
+// before it was restored.
+func TestRecall(t *testing.T) {
+	f := newFixture(t, 1000)
+	f.report()
+	f.awaitReset()
+	f.awaitCheckpoint()
+	f.is.True(f.fake.indexOf(wire.KindRestore) < f.fake.indexOf(wire.KindCheckpoint))
+	f.stop()
+}
 
-	stop()
-	is.NoErr(<-ended)
-	is.NoErr(receiver.Close())
-	is.NoErr(conn.Close())
-	is.Equal(len(received), 0) // only one reset for each flow
+// TestResetAtEnd guards against clients that learn only at their next request that
+// their backend server has ended. They sent it to entry instances that asked all
+// agents for the flow, and could not send an unrepeatable one again.
+func TestResetAtEnd(t *testing.T) {
+	for name, end := range map[string]func(f *fixture){
+		"the agent stops too": func(f *fixture) { f.stop(); f.awaitReset() },
+		"the agent stays":     func(f *fixture) { f.awaitReset(); f.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2000)
+			f.report()
+			f.awaitCheckpoint()
+			f.agent.BackendEnded("a", 2000)
+			f.is.Equal(len(f.received), 0) // the backend server may still send
+			end(f)
+		})
+	}
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -43,6 +43,11 @@
 	// server, so that missing reports are noticed in time.
 	sweepInterval = 250 * time.Millisecond
 
+	// endedGracePeriod is how long after its announcement a backend server may still
+	// send. It exits at once if its announcement is acknowledged, which it waits for
+	// for a second.
+	endedGracePeriod = 1200 * time.Millisecond
+
 	// slowSlotWait is the wait for a slot from which a request is logged. Added to
 	// the service time, it makes a client miss the shortest latency target in use,
 	// 120 ms.
@@ -92,6 +97,7 @@
 
 	mutex    sync.Mutex // guards everything below
 	gate     *gate.Gate
+	endedAt  time.Time         // when the backend server announced its end; zero if it is expected to send
 	notified map[flow.Key]bool // restored flows that were lost and whose clients got a reset
 	stopping bool
 	buffer   []byte
@@ -147,6 +153,8 @@
 
 	if outcome == gate.Changed {
 		s.resetOrphans(s.gate.Orphans())
+
+		s.endedAt = time.Time{}
 	}
 	s.mutex.Unlock()
 
@@ -167,7 +175,12 @@
 // BackendEnded records that the backend server has ended.
 func (s *Sidecar) BackendEnded(id string, startMillis int64) {
 	s.mutex.Lock()
+
 	outcome := s.gate.MarkEnded(id, startMillis)
+	if outcome == gate.Changed {
+		s.endedAt = time.Now()
+	}
+
 	s.mutex.Unlock()
 
 	s.logger.Info("the backend server announced its end", "id", id, "born", startMillis, "late", outcome == gate.Outdated)
@@ -194,6 +207,19 @@
 	s.logger.Info("reset the flows of a backend server that has ended", "flows", len(orphans))
 }
 
+// resetEnded resets the flows of a backend server that has announced its end, once it
+// has exited: the platform stops the agent only afterwards. Idle clients then open a
+// new flow for their next request, in place of a search for the old one. The caller
+// holds the mutex.
+func (s *Sidecar) resetEnded(now time.Time) {
+	if s.endedAt.IsZero() || (!s.stopping && now.Sub(s.endedAt) < endedGracePeriod) {
+		return
+	}
+
+	s.endedAt = time.Time{}
+	s.resetOrphans(s.gate.Orphans())
+}
+
 // Run relays packets until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	runCtx, stop := context.WithCancelCause(ctx)
@@ -210,6 +236,7 @@
 
 	s.mutex.Lock()
 	s.stopping = true
+	s.resetEnded(time.Now())
 	s.mutex.Unlock()
 	s.follower.SendFinalPoll()
 
@@ -349,31 +376,60 @@
 		return
 	}
 
-	if kind != wire.KindLocate {
+	var err error
+
+	switch kind {
+	case wire.KindLocate:
+		err = s.handleLocate(from, body)
+	case wire.KindPointer:
+		err = s.handlePointer(body)
+	default:
 		s.logger.Debug("dropped a message", "from", from, "kind", kind)
+	}
 
-		return
+	if err != nil {
+		s.logger.Warn("could not answer a message", "from", from, "kind", kind, "error", err)
 	}
+}
 
+// handleLocate answers which flows the backend server holds, after the pointers to
+// flows of other agents.
+func (s *Sidecar) handleLocate(from netip.AddrPort, body []byte) error {
 	locate, err := wire.ParseLocate(body)
 	if err != nil {
-		s.logger.Warn("dropped a message", "from", from, "error", err)
-
-		return
+		return err
 	}
 
 	located := wire.Located{ID: locate.ID}
 	now := time.Now()
 
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
 	for _, key := range locate.Keys {
-		located.Answers = append(located.Answers, s.gate.Locate(now, key))
+		answer := s.gate.Locate(now, key)
+		located.Answers = append(located.Answers, answer)
+
+		if holder, known := s.gate.Pointer(key); known && answer != flow.Held {
+			err = errors.Join(err, s.control.Send(from, wire.Pointer{Key: key, Holder: holder}.Append(nil)))
+		}
 	}
-	s.mutex.Unlock()
 
-	if err := s.control.Send(from, located.Append(nil)); err != nil {
-		s.logger.Debug("could not send a reply", "to", from, "error", err)
+	return errors.Join(err, s.control.Send(from, located.Append(nil)))
+}
+
+func (s *Sidecar) handlePointer(body []byte) error {
+	pointer, err := wire.ParsePointer(body)
+	if err != nil {
+		return err
 	}
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.gate.Point(time.Now(), pointer.Key, pointer.Holder)
+
+	return nil
 }
 
 // sweep periodically expires the state of the gate and starts waiting requests. It
@@ -394,6 +450,7 @@
 
 		s.mutex.Lock()
 		changed := s.gate.Sweep(time.Now())
+		s.resetEnded(time.Now())
 		s.startRequests()
 		failing := s.gate.Load(time.Now()).Failing
 		s.mutex.Unlock()
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -48,6 +48,7 @@
 	KindRestore                      // Restore, to a controller
 	KindRestoreReply                 // the checkpoint batches of the agent, concatenated
 	KindDeclined                     // Declined, to an entry instance
+	KindPointer                      // Pointer, between entry instances and agents
 )
 
 // ErrorKind classifies an Error.
@@ -242,6 +243,27 @@
 	return Found{Key: flow.ParseKey(body)}, nil
 }
 
+// Pointer tells which agent holds a flow: an entry instance leaves it with another
+// agent, which returns it before its Located.
+type Pointer struct {
+	Key    flow.Key
+	Holder flow.Endpoint
+}
+
+// Append appends the message to the buffer.
+func (p Pointer) Append(buffer []byte) []byte {
+	return p.Holder.Append(p.Key.Append(append(buffer, byte(KindPointer))))
+}
+
+// ParsePointer reads the body of a Pointer.
+func ParsePointer(body []byte) (Pointer, error) {
+	if err := checkLength("parse pointer", body, flow.KeyBytes+flow.EndpointBytes); err != nil {
+		return Pointer{}, err
+	}
+
+	return Pointer{Key: flow.ParseKey(body), Holder: flow.ParseEndpoint(body[flow.KeyBytes:])}, nil
+}
+
 // Restore asks a controller for the checkpointed flows that the sender had before
 // it restarted.
 type Restore struct {
--- a/internal/protocol/wire/wire_test.go
+++ b/internal/protocol/wire/wire_test.go
@@ -69,6 +69,19 @@
 		is.Equal(got, want)
 	})
 
+	t.Run("pointer", func(t *testing.T) {
+		is := is.New(t)
+		want := wire.Pointer{Key: key, Holder: key.Client}
+		encoded := splitBody(t, want.Append(nil), wire.KindPointer)
+
+		got, err := wire.ParsePointer(encoded)
+		is.NoErr(err)
+		is.Equal(got, want)
+
+		_, err = wire.ParsePointer(encoded[:len(encoded)-1])
+		is.True(err != nil)
+	})
+
 	t.Run("located", func(t *testing.T) {
 		is := is.New(t)
 		want := wire.Located{ID: 9, Answers: []flow.Answer{flow.Held, flow.Absent}}
