Refuse new flows at once under sustained overload

Ruled out: waiting for a slot as such. A short burst is served from the queue, and what is refused in it could have been served.

Change: once a client has given up on a request that waited, an agent turns away new flows for a second whose request would miss its target. The entry instance has asked five agents by then and this one is the least loaded, so it resets the flow, which has not run. A reset has no room for a time to come back.

Most clients that give up were admitted before, so it is not the end of the matter.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -84,7 +84,7 @@
 	ToClient      // send the packet to the client
 	Reset         // reset the flow at its client
 	Hold          // the gate keeps the packet until Start returns it
-	Decline       // hand the opening packet back to Forwarder, which knows further agents
+	Decline       // hand the opening packet back to Forwarder; if it was not declinable, the flow is refused
 )
 
 // Reason is why a packet was not delivered, as it appears in logs.
@@ -98,6 +98,7 @@
 	ReasonEnded       Reason = "the backend server has ended"
 	ReasonNoRoute     Reason = "the document does not allow the service for the address"
 	ReasonFull        Reason = "the backend server cannot accept the flow"
+	ReasonOverload    Reason = "clients have given up on requests that waited, and this one would have to wait"
 	ReasonNotHeld     Reason = "the backend server does not hold the flow"
 	ReasonReplaced    Reason = "the backend server that held the flow has ended"
 	ReasonUnknownFlow Reason = "nobody waits for the packet"
@@ -140,6 +141,7 @@
 	runningRequests int // requests handed over and not answered yet
 	reservations    reservations
 	pointers        pointers
+	overload        overload
 	queue           queue
 	health          health
 	lastSweep       time.Time
@@ -245,10 +247,19 @@
 		return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
 	}
 
-	if declinable && !g.hasUnreservedSlot(now) {
-		g.counters.Declined++
+	if !g.hasUnreservedSlot(now) {
+		if declinable {
+			g.counters.Declined++
 
-		return Decision{Kind: Decline, Forwarder: forwarder}
+			return Decision{Kind: Decline, Forwarder: forwarder}
+		}
+
+		target, _ := g.table.Find(key.Service) // refusalReason has found it
+		if g.overload.refuses(now, target, g.expectedLatency(now, target)) {
+			g.counters.Refused++
+
+			return Decision{Kind: Decline, Forwarder: forwarder, Reason: ReasonOverload}
+		}
 	}
 
 	h = g.addFlow(now, key, opening)
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -103,6 +103,26 @@
 	return r.rank(now, time.Duration(serviceTimeMargin*float64(q.serviceTimes[r.key.Service])))
 }
 
+// serviceTime returns the average service time of a route, 0 if none is known.
+func (q *queue) serviceTime(target *route.Route) time.Duration {
+	address, _ := flow.NewEndpoint(target.Address) // documents have IPv4 addresses only
+
+	return q.serviceTimes[address]
+}
+
+// inTime returns the number of waiting requests that can still meet their target.
+func (q *queue) inTime(now time.Time) int {
+	count := 0
+
+	for _, r := range q.waiting {
+		if q.rank(now, r) == 0 {
+			count++
+		}
+	}
+
+	return count
+}
+
 // pop removes and returns the request that gets the next slot, or nil.
 func (q *queue) pop(now time.Time) *request {
 	q.overloaded = slices.ContainsFunc(q.waiting, func(r *request) bool { return q.rank(now, r) > 0 })
--- a/internal/coordination/gate/requests.go
+++ b/internal/coordination/gate/requests.go
@@ -18,12 +18,17 @@
 
 	switch {
 	case header.Reset:
+		if h.request != nil {
+			g.overload.observeExpiry(now)
+		}
+
 		g.removeFlow(key, h)
 
 		return Deliver
 	case h.abandoned:
 		return Drop
 	case h.request != nil && header.Close:
+		g.overload.observeExpiry(now)
 		g.abandonRequest(h)
 
 		kind = Drop
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -15,7 +15,7 @@
 func (r *Router) open(now time.Time, target *route.Route, key flow.Key, packet []byte) {
 	if len(r.pendingFlows) >= maxPendingFlows {
 		r.counters.Dropped++
-		r.reset(key, 0, ReasonOverload)
+		r.reset(key, 0, ReasonBusy)
 
 		return
 	}
@@ -279,7 +279,8 @@
 }
 
 // Declined handles an opening packet that an agent handed back because its backend
-// server has no free slot.
+// server has no free slot. The last agent that is offered a flow does so only under
+// sustained overload.
 func (r *Router) Declined(now time.Time, from flow.Endpoint, header flow.Header, load roster.Load) []Action {
 	r.actions = r.actions[:0]
 	r.applyLoad(from, load)
@@ -294,6 +295,14 @@
 
 	r.counters.Declined++
 
+	if !e.declinable {
+		// The least loaded of several agents would let the request wait in vain.
+		r.removeFlow(key)
+		r.reset(key, 0, ReasonOverload)
+
+		return r.actions
+	}
+
 	e.offers--
 	e.declined = append(e.declined, from)
 	e.tried = slices.DeleteFunc(e.tried, func(tried flow.Endpoint) bool { return tried == from })
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -109,6 +109,42 @@
 	f.is.Equal(f.checkOne(actions, steering.Reset).Reason, steering.ReasonNoAgent)
 }
 
+// TestOpenDeclined guards against a flow that waits at the agent that seemed least
+// loaded while others have free slots, and against one that all agents decline: after a
+// few of them, the least loaded one has to take it, or the client is told at once.
+func TestOpenDeclined(t *testing.T) {
+	f := newFixture(t, 12)
+	key := client(1)
+	actions := f.router.Packet(f.now, openHeader(key), []byte("open"))
+	loads := make(map[flow.Endpoint]uint16)
+
+	for waiting := uint16(9); ; waiting-- {
+		offered := f.checkOne(actions, steering.Forward)
+
+		if !offered.Declinable {
+			f.is.Equal(len(loads), 5)
+			f.is.Equal(loads[offered.To], waiting+1) // the last answer has the lowest load
+			actions = f.router.Declined(f.now, offered.To, openHeader(key), roster.Load{Waiting: 9})
+
+			break
+		}
+
+		f.is.Equal(loads[offered.To], uint16(0)) // offered once
+
+		loads[offered.To] = waiting
+		for _, record := range agents(12, roster.Ready) {
+			if _, known := loads[record.Address]; !known {
+				record.Waiting = 100
+				f.router.Apply(f.now, []roster.Record{record}, false)
+			}
+		}
+
+		actions = f.router.Declined(f.now, offered.To, openHeader(key), roster.Load{Waiting: waiting})
+	}
+
+	f.is.Equal(f.checkOne(actions, steering.Reset).Reason, steering.ReasonOverload)
+}
+
 // TestOpenSilent guards against flows that wait for an agent that has failed, and
 // against further new flows for that agent.
 func TestOpenSilent(t *testing.T) {
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -212,7 +212,8 @@
 	ReasonRefused  Reason = "the agent refused the flow"
 	ReasonNoAnswer Reason = "the agent did not answer"
 	ReasonNotHeld  Reason = "no agent holds the flow"
-	ReasonOverload Reason = "too many flows wait for a decision"
+	ReasonBusy     Reason = "too many flows wait for a decision"
+	ReasonOverload Reason = "clients give up on requests that wait, and this one would have to wait"
 
 	// Reasons why a search can neither find a flow nor prove that it is lost.
 	ReasonSilent    Reason = "an agent did not answer whether it holds the flow"
