Keep fragments of an earlier start apart from those of a new message

Cause: message IDs began with 1 at each start. A receiver that held the first fragment of a message from before a restart put it together with the last one of a new message, for example of two versions of a document. Found while looking for late copies of answers.

Ruled out: a checksum of the message. Fragments are whole datagrams, so they are not damaged; they only belong to another message.

Change: IDs begin at random, a partial message is replaced after its timeout, and a fragment is checked before its message takes memory.

Before: TestSenderRestarts (new) gets a message of both; after: it gets the second one.

--- a/internal/transport/frag/frag.go
+++ b/internal/transport/frag/frag.go
@@ -17,6 +17,7 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -106,10 +107,16 @@
 		return nil, newError("listen", KindListen, err)
 	}
 
-	return &Conn{
+	c := &Conn{
 		socket: opened, partials: make(map[partialKey]*partialMessage),
 		buffers: sync.Pool{New: func() any { return new(buffer) }},
-	}, nil
+	}
+
+	// A receiver may still hold fragments of a message from an earlier start of this
+	// process, and must not mix them with those of a new message.
+	c.nextID.Store(rand.Uint32())
+
+	return c, nil
 }
 
 // Address returns the local address.
@@ -151,15 +158,21 @@
 	count := int(binary.LittleEndian.Uint16(datagram[6:]))
 	data := datagram[8:]
 
+	if count > maxFragments || number >= count || len(data) > fragmentBytes {
+		c.dropped.Add(1)
+
+		return nil
+	}
+
 	pending := c.partials[key]
-	if pending == nil && count <= maxFragments {
+	if pending == nil || time.Since(pending.startedAt) > partialTimeout {
 		c.evictPartials()
 
 		pending = &partialMessage{parts: make([][]byte, count), missing: count, startedAt: time.Now()}
 		c.partials[key] = pending
 	}
 
-	if pending == nil || count != len(pending.parts) || number >= count || len(data) > fragmentBytes {
+	if count != len(pending.parts) {
 		c.dropped.Add(1)
 
 		return nil
--- a/internal/transport/frag/frag_test.go
+++ b/internal/transport/frag/frag_test.go
@@ -49,6 +49,48 @@
 	is.True(sender.Send(receiver.Address(), make([]byte, frag.MaxMessageBytes+1)) != nil)
 }
 
+// TestSenderRestarts guards against a message that is put together from fragments of two
+// messages: one of them was sent before its sender restarted at the same address, and
+// its last fragment was lost.
+func TestSenderRestarts(t *testing.T) {
+	is := is.New(t)
+	receiver := listen(t)
+	messages := serve(receiver)
+
+	first, second := bytes.Repeat([]byte{1}, 2000), bytes.Repeat([]byte{2}, 2000)
+	relay, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+
+	defer relay.Close()
+
+	relayAddress := netip.AddrPortFrom(loopback.Addr(), relay.LocalAddr().(*net.UDPAddr).AddrPort().Port())
+	datagram := make([]byte, 2000)
+
+	// The relay stands for the address of the sender, which stays the same.
+	send := func(message []byte, fragments int) {
+		sender, err := frag.Listen(loopback, slog.New(slog.DiscardHandler))
+		is.NoErr(err)
+
+		defer sender.Close()
+
+		is.NoErr(sender.Send(relayAddress, message))
+
+		for number := range 2 {
+			count, err := relay.Read(datagram)
+			is.NoErr(err)
+
+			if number < fragments {
+				_, err = relay.WriteToUDPAddrPort(datagram[:count], receiver.Address())
+				is.NoErr(err)
+			}
+		}
+	}
+
+	send(first, 1)
+	send(second, 2)
+	is.True(bytes.Equal(<-messages, second))
+}
+
 // TestGarbage guards against malformed datagrams that stop the receiver or are
 // delivered as messages.
 func TestGarbage(t *testing.T) {
