Take an answer only from the agent that was asked, in this start

Cause: questions about flows are numbered from 1 at each start of an entry instance, and an answer was matched by its number alone. A late answer to a question of an earlier start, or of another agent, counted for the flows of a new question: "holds it" sends the flow to an agent that does not hold it, "does not" helps to reset an open flow.

Change: numbers begin at random, and the sender has to be the agent that was asked.

Before: TestLateAnswer (new) fails; after: it passes.

--- a/internal/coordination/steering/question.go
+++ b/internal/coordination/steering/question.go
@@ -35,6 +35,7 @@
 type sentQuestion struct {
 	Question
 
+	agent   flow.Endpoint
 	expires time.Time
 }
 
@@ -82,8 +83,9 @@
 	sent       map[uint32]sentQuestion
 }
 
-func newQuestions() *questions {
+func newQuestions(firstID uint32) *questions {
 	return &questions{
+		nextID:     firstID,
 		candidates: newQuestionBatch(candidatesBatchDelay, likelyTimeout),
 		nextRanks:  newQuestionBatch(nextBatchDelay, nextTimeout),
 		others:     newQuestionBatch(otherBatchDelay, otherTimeout),
@@ -145,7 +147,7 @@
 	q.nextID++
 
 	question := Question{ID: q.nextID, Keys: keys}
-	q.sent[question.ID] = sentQuestion{Question: question, expires: now.Add(2 * otherTimeout)}
+	q.sent[question.ID] = sentQuestion{Question: question, agent: agent, expires: now.Add(2 * otherTimeout)}
 	r.addAction(Action{Kind: Locate, To: agent, Question: question})
 }
 
@@ -154,7 +156,7 @@
 	r.actions = r.actions[:0]
 
 	question, ok := r.questions.sent[id]
-	if !ok || len(answers) != len(question.Keys) {
+	if !ok || question.agent != from || len(answers) != len(question.Keys) {
 		return r.actions
 	}
 
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -315,6 +315,29 @@
 	f.is.Equal(f.checkOne(f.router.Tick(f.now), steering.Point).To, point.To)
 }
 
+// TestLateAnswer guards against the answer of an agent to a question of an earlier start
+// of the entry instance, or of another agent, that is taken for the answer to a new
+// question: the flow would go to an agent that does not hold it, or be reset.
+func TestLateAnswer(t *testing.T) {
+	f := newFixture(t, 2)
+	key := client(1)
+	first, next := f.askedAfterFirst(key, f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+
+	for _, answer := range []flow.Answer{flow.Held, flow.Absent} {
+		f.is.Equal(len(f.router.Located(f.now, first, f.questions[next[0]], []flow.Answer{answer})), 0)
+	}
+
+	f.is.Equal(f.checkOne(f.answer(next[0], flow.Held), steering.Forward).To, next[0])
+
+	restarted := steering.New(steering.Config{Boot: start, FirstQuestion: 1 << 30})
+	restarted.SetTable(table(t, 1, toService("desk")))
+	restarted.Apply(f.now, agents(2, roster.Ready), true)
+	restarted.Packet(f.now, requestHeader(key, 1), []byte("one"))
+
+	due, _ := restarted.Due()
+	f.is.True(restarted.Tick(due)[0].Question.ID > 1<<30)
+}
+
 // TestUnsureAgents guards against packets of an open flow that reach several other
 // backend servers because their agents have just started, while the agent that holds
 // the flow has not been asked yet.
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -269,6 +269,9 @@
 	Zone               string
 	Boot               time.Time
 	LinkBytesPerSecond float64 // link rate of the instance in bytes per second; 0 if unknown
+	// FirstQuestion precedes the IDs of questions. It is random for each start, because
+	// answers to the questions of an earlier start may still arrive.
+	FirstQuestion uint32
 	// ObserveOpen is called with the time that each new flow took to be accepted.
 	ObserveOpen func(elapsed time.Duration)
 }
@@ -307,7 +310,7 @@
 	return &Router{
 		nearBudget:   rate.NewLimiter(rate.Limit(nearLinkShare*link), int(nearBurst.Seconds()*link)),
 		otherBudget:  rate.NewLimiter(rate.Limit(otherLinkShare*link), 0),
-		questions:    newQuestions(),
+		questions:    newQuestions(config.FirstQuestion),
 		config:       config,
 		agents:       make(map[flow.Endpoint]*agent),
 		services:     make(map[string][]*agent),
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -106,7 +106,7 @@
 		wake: make(chan struct{}, 1),
 		router: steering.New(steering.Config{
 			Zone: settings.Zone, Boot: time.Now(), LinkBytesPerSecond: settings.LinkBytesPerSecond,
-			ObserveOpen: openTimes.Observe,
+			ObserveOpen: openTimes.Observe, FirstQuestion: rand.Uint32(),
 		}),
 	}
 	f.follower = follower.New(follower.Config{
