Track a flow anew when its client opens it again

Cause: after a client has closed a flow, a new flow from the same address and port used the record of the old one. Once both sides had closed the old flow, the new one counted as closed and was forgotten 10 s after its last packet, while idle: its next packet would have been answered with a reset.

Change: an opening packet after the client's close starts a new record.

Before: TestReopened (new) fails in both cases; after: it passes.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -229,7 +229,7 @@
 	now time.Time, key flow.Key, h *trackedFlow, forwarder flow.Endpoint, declinable bool,
 ) Decision {
 	// A client that opens a flow again after closing it reuses the same address and port.
-	if h != nil && h.abandoned {
+	if h != nil && (h.abandoned || h.closedBy[0]) {
 		g.removeFlow(key, h)
 
 		h = nil
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -113,6 +113,35 @@
 	b.fromBackend(answerHeader, gate.ToClient)
 }
 
+// TestReopened guards against a flow that is forgotten while it is open, because its
+// client uses the address and port of an earlier flow that both sides have closed.
+func TestReopened(t *testing.T) {
+	for name, closing := range map[string]func(*backendFixture){
+		"closed by both": func(b *backendFixture) {
+			b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver)
+			b.fromBackend(flow.Header{Acks: true, Close: true}, gate.ToClient)
+		},
+		"closed by the client": func(b *backendFixture) {
+			b.fromClient(flow.Header{Acks: true, Close: true}, gate.Deliver)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackendFixture(t)
+			b.report(report(start, 1))
+			b.openFlow()
+			closing(b)
+
+			b.now = b.now.Add(3 * time.Second)
+			b.openFlow()
+			b.is.Equal(b.gate.Load(b.now).Flows, uint16(1))
+
+			b.now = b.now.Add(12 * time.Second)
+			b.gate.Sweep(b.now)
+			b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+		})
+	}
+}
+
 // TestOpen guards against new flows at a backend server that must not get any.
 func TestOpen(t *testing.T) {
 	t.Run("before the first report", func(t *testing.T) {
