Drop a datagram whose handler panics, and say which one

Cause: a panic in the handler of a datagram ended the process, in all processes of pass-through services. One malformed message that hits such a fault would end every process that gets it, and again after each restart. No such message is known.

Change: the handler's panic is logged with sender, size, the first 64 bytes and the stack, and the next datagram is handled. Violated invariants still end the process.

Before: TestPanic (new) fails; after: it passes.

--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -9,22 +9,31 @@
 //	err = s.Send(datagram, destination)
 //	err = s.Close() // ends Serve
 //
-// The datagram passed to the handler is valid until the handler returns.
+// The datagram passed to the handler is valid until the handler returns. A handler that
+// panics on a datagram does not end the process: the datagram is logged, and the next
+// one is handled. Violated invariants do end it. Handlers release their locks by defer.
 package socket
 
 import (
+	"encoding/hex"
 	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 
 	"jayspindle/internal/state/failure"
+	"jayspindle/internal/state/invariant"
 )
 
 const (
 	// receiveBufferBytes holds 80 ms of traffic at 100 Mbit/s.
 	receiveBufferBytes = 1 << 20
 
+	// loggedBytes limits the part of a datagram that is logged after a panic. It shows
+	// the type of a message and the addresses of a packet.
+	loggedBytes = 64
+
 	// maxDatagramBytes is the maximum size of an IPv4 datagram.
 	maxDatagramBytes = 64 << 10
 )
@@ -46,7 +55,10 @@
 }
 
 // Socket is a UDP socket. Send is safe for concurrent use.
-type Socket struct{ conn *net.UDPConn }
+type Socket struct {
+	conn   *net.UDPConn
+	logger *slog.Logger
+}
 
 // Listen opens a socket on an IPv4 address.
 func Listen(address netip.AddrPort, logger *slog.Logger) (*Socket, error) {
@@ -59,7 +71,7 @@
 		logger.Warn("cannot set the size of the receive buffer, keeping the default", "error", err)
 	}
 
-	return &Socket{conn: conn}, nil
+	return &Socket{conn: conn, logger: logger}, nil
 }
 
 // Address returns the local address.
@@ -80,11 +92,33 @@
 		// Other errors report that a datagram sent earlier was not delivered. The
 		// protocols above detect that by the missing reply.
 		if err == nil {
-			handle(from, buffer[:count])
+			s.handle(from, buffer[:count], handle)
 		}
 	}
 }
 
+// handle calls the handler. Without recover, one malformed message would end every
+// process that gets it.
+func (s *Socket) handle(
+	from netip.AddrPort, datagram []byte, handler func(from netip.AddrPort, datagram []byte),
+) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+
+		if _, violated := cause.(*invariant.ViolationError); violated {
+			panic(cause)
+		}
+
+		s.logger.Error("a handler panicked, dropped the datagram", "from", from, "bytes", len(datagram),
+			"start", hex.EncodeToString(datagram[:min(len(datagram), loggedBytes)]), "cause", cause, "stack", string(debug.Stack()))
+	}()
+
+	handler(from, datagram)
+}
+
 // Send sends a datagram. It may be lost although Send returns no error.
 func (s *Socket) Send(datagram []byte, to netip.AddrPort) error {
 	if _, err := s.conn.WriteToUDPAddrPort(datagram, to); err != nil {
--- a/internal/transport/socket/socket_test.go
+++ b/internal/transport/socket/socket_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"jayspindle/internal/state/invariant"
 	"jayspindle/internal/transport/socket"
 )
 
@@ -47,3 +49,49 @@
 	is.True(err != nil) // in use
 	is.NoErr(sender.Close())
 }
+
+// TestPanic guards against a process that ends because a handler panics on a datagram,
+// and against one that goes on after a violated invariant.
+func TestPanic(t *testing.T) {
+	is := is.New(t)
+
+	var log bytes.Buffer
+
+	receiver, err := socket.Listen(netip.MustParseAddrPort("127.0.0.1:0"), slog.New(slog.NewTextHandler(&log, nil)))
+	is.NoErr(err)
+
+	sender, err := socket.Listen(netip.MustParseAddrPort("127.0.0.1:0"), slog.New(slog.DiscardHandler))
+	is.NoErr(err)
+
+	for _, message := range []string{"crash", "hello", "invariant"} {
+		is.NoErr(sender.Send([]byte(message), receiver.Address()))
+	}
+
+	var (
+		handled  string
+		violated any
+	)
+
+	func() {
+		defer func() { violated = recover() }()
+
+		receiver.Serve(func(_ netip.AddrPort, datagram []byte) {
+			switch string(datagram) {
+			case "crash":
+				panic("unexpected")
+			case "invariant":
+				invariant.Assert(false, "test")
+			default:
+				handled = string(datagram)
+			}
+		})
+	}()
+
+	is.Equal(handled, "hello")
+
+	_, ok := violated.(*invariant.ViolationError)
+	is.True(ok)
+	is.True(strings.Contains(log.String(), "6372617368")) // the datagram
+	is.NoErr(receiver.Close())
+	is.NoErr(sender.Close())
+}
