Hand waiting requests over when an agent stops

Cause: requests that had been accepted and waited for a slot were dropped at a planned stop of the agent. Their clients sent them again after 200 ms or more, and the next start of the agent got them.

Change: as many as the backend server has slots go to its own queue. More could be refused by it.

Test: TestReleaseQueued (new).

--- a/internal/coordination/gate/queue_test.go
+++ b/internal/coordination/gate/queue_test.go
@@ -129,6 +129,22 @@
 	s.is.True(s.sendRequest(a))
 }
 
+// TestReleaseQueued guards against requests that had been accepted and are lost when the
+// agent stops: their clients would wait for a retransmission, and the next start of the
+// agent. More than the backend server can queue would be refused by it.
+func TestReleaseQueued(t *testing.T) {
+	s := newSlotFixture(t, 2)
+
+	for number := range 6 {
+		s.sendRequest(client(number, normal))
+	}
+
+	released := s.gate.ReleaseQueued(s.now)
+	s.is.Equal(len(released), 2)
+	s.is.Equal(released[0].Key, client(2, normal))
+	s.is.Equal(len(released[0].Packets), 1)
+}
+
 // TestRepeated guards against counting a retransmission as another request: its
 // slot would never be freed, and the next requests would wait and be retransmitted
 // in turn.
--- a/internal/coordination/gate/requests.go
+++ b/internal/coordination/gate/requests.go
@@ -87,21 +87,49 @@
 	g.expireOverdue(now)
 
 	for g.hasFreeSlot() {
-		next := g.queue.pop(now)
-		if next == nil {
+		next, ok := g.startNext(now)
+		if !ok {
 			break
 		}
 
-		h := g.flows[next.key]
-		h.request = nil
-		g.startRequest(now, h)
-
-		started = append(started, StartedRequest{Key: next.key, Packets: next.packets, Waited: now.Sub(next.arrived)})
+		started = append(started, next)
 	}
 
 	return started
 }
 
+// startNext hands the first waiting request over, whether there is a free slot or not.
+func (g *Gate) startNext(now time.Time) (StartedRequest, bool) {
+	next := g.queue.pop(now)
+	if next == nil {
+		return StartedRequest{}, false
+	}
+
+	h := g.flows[next.key]
+	h.request = nil
+	g.startRequest(now, h)
+
+	return StartedRequest{Key: next.key, Packets: next.packets, Waited: now.Sub(next.arrived)}, true
+}
+
+// ReleaseQueued returns the waiting requests that the backend server should queue itself,
+// because the gate stops: as many as it has slots, which it accepts beyond those that
+// run. The others reach the next gate when their clients send them again.
+func (g *Gate) ReleaseQueued(now time.Time) []StartedRequest {
+	var released []StartedRequest
+
+	for range g.backend.slots {
+		next, ok := g.startNext(now)
+		if !ok {
+			break
+		}
+
+		released = append(released, next)
+	}
+
+	return released
+}
+
 // hasFreeSlot reports whether the backend server has a slot for another request.
 func (g *Gate) hasFreeSlot() bool {
 	return g.backend.slots == 0 || g.runningRequests < int(g.backend.slots)
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -237,6 +237,7 @@
 	s.mutex.Lock()
 	s.stopping = true
 	s.resetEnded(time.Now())
+	s.deliver(s.gate.ReleaseQueued(time.Now()))
 	s.mutex.Unlock()
 	s.follower.SendFinalPoll()
 
@@ -343,8 +344,12 @@
 
 // startRequests sends the waiting requests that get a slot to the backend server.
 // The caller holds the mutex.
-func (s *Sidecar) startRequests() {
-	for _, started := range s.gate.StartQueued(time.Now()) {
+func (s *Sidecar) startRequests() { s.deliver(s.gate.StartQueued(time.Now())) }
+
+// deliver sends requests that have waited to the backend server. The caller holds the
+// mutex.
+func (s *Sidecar) deliver(requests []gate.StartedRequest) {
+	for _, started := range requests {
 		if started.Waited >= slowSlotWait {
 			s.logger.Info("a request waited for a slot", "flow", started.Key.String(),
 				"waited_ms", started.Waited.Milliseconds(), "waiting", s.gate.Load(time.Now()).Waiting)
