Distrust what was confirmed before the machine was suspended

Cause: the monotonic clock stands still while a machine is suspended. An entry instance that resumed took its document and its list of agents for confirmed, and could reset flows of new routes and of agents that it did not know. A controller that resumed told instances for up to a second that its document and list were current, since its Raft node had not missed its leader yet.

Ruled out: leases by the clock of the machine: there are none here; reads and writes of documents need a majority.

--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -338,6 +338,34 @@
 	f.is.True(restarted.Tick(due)[0].Question.ID > 1<<30)
 }
 
+// TestSuspended guards against an entry instance that acts on an outdated document or list
+// of agents after its machine was suspended: its clock stood still, so that they seem to
+// have been confirmed just now.
+func TestSuspended(t *testing.T) {
+	f := newFixture(t, 1)
+	suspended := time.Duration(0)
+	f.router = steering.New(steering.Config{Boot: start, Suspended: func() time.Duration { return suspended }})
+	f.router.SetTable(table(t, 1, toService("desk")))
+	f.router.Apply(f.now, agents(1, roster.Ready), true)
+	f.router.Confirm(f.now)
+
+	unrouted := client(1)
+	unrouted.Service.Port++
+	f.checkOne(f.router.Packet(f.now, openHeader(unrouted), []byte("open")), steering.Reset)
+
+	suspended = 8 * time.Second
+	f.is.Equal(len(f.router.Packet(f.now, openHeader(unrouted), []byte("open"))), 0)
+	f.is.Equal(len(f.router.Packet(f.now, requestHeader(client(2), 1), []byte("one"))), 0)
+
+	due, _ := f.router.Due()
+	asked := f.router.Tick(due)
+	actions := f.router.Located(due, asked[0].To, asked[0].Question.ID, []flow.Answer{flow.Absent})
+	f.is.Equal(f.checkOne(actions, steering.GiveUp).Reason, steering.ReasonOutdated)
+
+	f.router.Confirm(f.now)
+	f.checkOne(f.router.Packet(f.now, openHeader(unrouted), []byte("open")), steering.Reset)
+}
+
 // TestUnsureAgents guards against packets of an open flow that reach several other
 // backend servers because their agents have just started, while the agent that holds
 // the flow has not been asked yet.
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -272,6 +272,9 @@
 	// FirstQuestion precedes the IDs of questions. It is random for each start, because
 	// answers to the questions of an earlier start may still arrive.
 	FirstQuestion uint32
+	// Suspended returns for how long the machine has been suspended: the current time
+	// stands still meanwhile. Nil if it never is.
+	Suspended func() time.Duration
 	// ObserveOpen is called with the time that each new flow took to be accepted.
 	ObserveOpen func(elapsed time.Duration)
 }
@@ -281,7 +284,8 @@
 type Router struct {
 	config         Config
 	table          *route.Table
-	lastConfirmed  time.Time // last time that a controller confirmed document and agents
+	lastConfirmed  time.Time     // last time that a controller confirmed document and agents
+	suspended      time.Duration // of the machine, up to lastConfirmed
 	agents         map[flow.Endpoint]*agent
 	services       map[string][]*agent
 	flows          map[flow.Key]*entry
@@ -298,6 +302,10 @@
 
 // New returns a router without agents and routes.
 func New(config Config) *Router {
+	if config.Suspended == nil {
+		config.Suspended = func() time.Duration { return 0 }
+	}
+
 	if config.ObserveOpen == nil {
 		config.ObserveOpen = func(time.Duration) {}
 	}
@@ -396,7 +404,9 @@
 
 // Confirm records that a controller has just confirmed that document and agents
 // are current.
-func (r *Router) Confirm(now time.Time) { r.lastConfirmed = now }
+func (r *Router) Confirm(now time.Time) {
+	r.lastConfirmed, r.suspended = now, r.config.Suspended()
+}
 
 // Serving reports whether the router knows a document and an agent that takes
 // flows.
@@ -417,7 +427,7 @@
 // recentlyConfirmed reports whether a controller confirmed document and agents
 // recently, so that a route or agent that is not in them does not exist.
 func (r *Router) recentlyConfirmed(now time.Time) bool {
-	return now.Sub(r.lastConfirmed) <= freshnessWindow
+	return now.Sub(r.lastConfirmed)+r.config.Suspended()-r.suspended <= freshnessWindow
 }
 
 func (r *Router) addAction(action Action) { r.actions = append(r.actions, action) }
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"jayspindle/internal/program/follower"
 	"jayspindle/internal/program/group"
 	"jayspindle/internal/program/latency"
+	"jayspindle/internal/program/uptime"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/failure"
 	"jayspindle/internal/state/flow"
@@ -106,7 +107,7 @@
 		wake: make(chan struct{}, 1),
 		router: steering.New(steering.Config{
 			Zone: settings.Zone, Boot: time.Now(), LinkBytesPerSecond: settings.LinkBytesPerSecond,
-			ObserveOpen: openTimes.Observe, FirstQuestion: rand.Uint32(),
+			ObserveOpen: openTimes.Observe, FirstQuestion: rand.Uint32(), Suspended: uptime.Suspended,
 		}),
 	}
 	f.follower = follower.New(follower.Config{
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -34,6 +34,7 @@
 
 	"jayspindle/internal/program/group"
 	"jayspindle/internal/program/latency"
+	"jayspindle/internal/program/uptime"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/failure"
 	"jayspindle/internal/state/flow"
@@ -107,6 +108,7 @@
 	self            flow.Endpoint
 	conn            *frag.Conn
 	started         time.Time
+	suspension      suspension
 	events          chan event
 	published       atomic.Pointer[publishedState]
 	acceptLatency   *latency.Histogram // time until a document was accepted
@@ -160,7 +162,8 @@
 
 	r := &Registry{
 		settings: settings, decodeDocument: decodeDocument, logger: logger, self: self, conn: conn, started: time.Now(),
-		events: make(chan event, maxPendingEvents), acceptLatency: latency.New(),
+		suspension: newSuspension(uptime.Suspended),
+		events:     make(chan event, maxPendingEvents), acceptLatency: latency.New(),
 		agents: roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
 	}
 	r.published.Store(&publishedState{})
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"jayspindle/internal/program/uptime"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/flow"
 )
@@ -26,6 +27,11 @@
 	// once.
 	minNotifyInterval = 30 * time.Millisecond
 
+	// resumeDelay is how long after a suspension a controller says nothing about what is
+	// current: an election, after which a follower knows its leader again, and two polls
+	// of each agent.
+	resumeDelay = 2500 * time.Millisecond
+
 	// maxRepeats limits the repeated notifications about one document.
 	maxRepeats = 10
 )
@@ -50,18 +56,9 @@
 	now := time.Now()
 	current := r.published.Load()
 
-	r.mutex.Lock()
-	urgent := r.recordPoll(now, from, poll)
-	reply := wire.PollReply{
-		Sequence: poll.Sequence, Version: current.version, Controllers: current.controllers, Ready: r.ready(now, current),
-	}
-
-	if poll.WantsAgents {
-		r.addAgents(&reply, poll)
-	}
-	r.mutex.Unlock()
+	reply := wire.PollReply{Sequence: poll.Sequence, Version: current.version, Controllers: current.controllers}
 
-	if urgent {
+	if r.answerPoll(now, from, poll, &reply, current) {
 		r.notifyFollowers(now)
 	}
 
@@ -77,6 +74,24 @@
 	return r.conn.Send(from, message)
 }
 
+// answerPoll records a poll, completes the reply and reports whether followers should be
+// notified at once.
+func (r *Registry) answerPoll(
+	now time.Time, from netip.AddrPort, poll wire.Poll, reply *wire.PollReply, current *publishedState,
+) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	urgent := r.recordPoll(now, from, poll)
+	reply.Ready = r.ready(now, current)
+
+	if poll.WantsAgents {
+		r.addAgents(reply, poll)
+	}
+
+	return urgent
+}
+
 // recordPoll records the contents of a poll and reports whether followers should
 // be notified at once. The caller holds the mutex.
 func (r *Registry) recordPoll(now time.Time, from netip.AddrPort, poll wire.Poll) bool {
@@ -112,7 +127,30 @@
 // ready reports whether the document and the list of agents are complete and
 // current.
 func (r *Registry) ready(now time.Time, current *publishedState) bool {
-	return current.hasLeader && now.Sub(current.publishedAt) < maxPublishedAge && now.Sub(r.started) > settleDelay
+	return current.hasLeader && now.Sub(current.publishedAt) < maxPublishedAge && now.Sub(r.started) > settleDelay &&
+		now.Sub(r.suspension.lastResume(now)) > resumeDelay
+}
+
+// suspension notices that the machine was suspended. The Raft node still believes in its
+// leader after that, and the list of agents is that of before, but nothing of it can be
+// told by the monotonic clock, which stood still.
+type suspension struct {
+	total   func() time.Duration // of the machine so far
+	known   time.Duration
+	resumed time.Time // when the last suspension was noticed
+}
+
+func newSuspension(total func() time.Duration) suspension {
+	return suspension{total: total, known: total()}
+}
+
+// lastResume returns when the machine was last found to have been suspended.
+func (s *suspension) lastResume(now time.Time) time.Time {
+	if total := s.total(); total-s.known > uptime.Tolerance {
+		s.known, s.resumed = total, now
+	}
+
+	return s.resumed
 }
 
 // addAgents adds the list of agents to a reply, or only the changes that the
