Fix an overflow in the age of the last confirmation

Cause: an entry instance that has just started has no confirmation; the time since then is the longest duration, and the time of suspension was added to it.

Before: the new case of TestSuspended fails; after: it passes.

--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -364,6 +364,11 @@
 
 	f.router.Confirm(f.now)
 	f.checkOne(f.router.Packet(f.now, openHeader(unrouted), []byte("open")), steering.Reset)
+
+	// A start on a machine that was suspended before.
+	f.router = steering.New(steering.Config{Boot: f.now, Suspended: func() time.Duration { return suspended }})
+	f.router.SetTable(table(t, 1, toService("desk")))
+	f.is.Equal(len(f.router.Packet(f.now, openHeader(unrouted), []byte("open"))), 0)
 }
 
 // TestUnsureAgents guards against packets of an open flow that reach several other
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -427,7 +427,8 @@
 // recentlyConfirmed reports whether a controller confirmed document and agents
 // recently, so that a route or agent that is not in them does not exist.
 func (r *Router) recentlyConfirmed(now time.Time) bool {
-	return now.Sub(r.lastConfirmed)+r.config.Suspended()-r.suspended <= freshnessWindow
+	// Not added up: the time since the zero Time is the longest Duration.
+	return now.Sub(r.lastConfirmed) <= freshnessWindow && r.config.Suspended()-r.suspended <= freshnessWindow
 }
 
 func (r *Router) addAction(action Action) { r.actions = append(r.actions, action) }
