--- a/internal/protocol/wire/fuzz_test.go
+++ b/internal/protocol/wire/fuzz_test.go
@@ -33,7 +33,9 @@
 		body any
 	}{
 		{wire.KindPoll, wire.Poll{Boot: 1, Sequence: 2, Agent: &record, WantsAgents: true}},
-		{wire.KindPollReply, wire.PollReply{Version: 3, Controllers: []flow.Endpoint{key.Service}, Agents: []roster.Record{record}}},
+		{wire.KindPollReply, wire.PollReply{
+			Version: 3, Controllers: []flow.Endpoint{key.Service}, Agents: []roster.Record{record},
+		}},
 		{wire.KindFetch, wire.Fetch{Above: 3}},
 		{wire.KindJoin, wire.Join{Replica: 3}},
 		{wire.KindJoinReply, wire.JoinReply{Cluster: 1, Controllers: []flow.Endpoint{key.Service}}},
@@ -99,7 +101,8 @@
 		return
 	}
 
-	if length := min(len(encoded), 1+flow.KeyBytes); kindHasKey(message[0]) && !bytes.Equal(encoded[:length], message[:length]) {
+	length := min(len(encoded), 1+flow.KeyBytes)
+	if kindHasKey(message[0]) && !bytes.Equal(encoded[:length], message[:length]) {
 		t.Errorf("decoded %x, encoded %x", message, encoded)
 	}
 
--- a/internal/state/checkpoint/fuzz_test.go
+++ b/internal/state/checkpoint/fuzz_test.go
@@ -11,7 +11,8 @@
 // controller, or that restore more flows than they contain.
 func FuzzRestore(f *testing.F) {
 	key := flow.Key{
-		Client: flow.Endpoint{IP: [4]byte{192, 0, 2, 1}, Port: 1}, Service: flow.Endpoint{IP: [4]byte{198, 51, 100, 1}, Port: 2},
+		Client:  flow.Endpoint{IP: [4]byte{192, 0, 2, 1}, Port: 1},
+		Service: flow.Endpoint{IP: [4]byte{198, 51, 100, 1}, Port: 2},
 	}
 	batch := checkpoint.Batch{
 		Agent: key.Client, BackendStart: 5, Epoch: 6, To: 2,
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -112,8 +112,9 @@
 			panic(cause)
 		}
 
+		start := hex.EncodeToString(datagram[:min(len(datagram), loggedBytes)])
 		s.logger.Error("a handler panicked, dropped the datagram", "from", from, "bytes", len(datagram),
-			"start", hex.EncodeToString(datagram[:min(len(datagram), loggedBytes)]), "cause", cause, "stack", string(debug.Stack()))
+			"start", start, "cause", cause, "stack", string(debug.Stack()))
 	}()
 
 	handler(from, datagram)
