Answer a call whose handler panics with an error

Cause: a panic in the handler of a call between processes of QUIC services ended the process: agent, balancer or controller. A request that hits such a fault would end every process that its caller tries.

Change: the panic is logged with method, caller and size, and the caller gets an internal error. Violated invariants still end the process.

Before: TestPanic (new) ends the test process; after: it passes.

--- a/internal/transport/link/answer.go
+++ b/internal/transport/link/answer.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"jayspindle/internal/state/invariant"
 )
 
 // requestTimeout bounds the wait for the request of an accepted stream, so
@@ -100,7 +103,13 @@
 }
 
 func (s *Server) handleUnary(ctx context.Context, stream *quic.Stream, request *Request, handler Handler) {
-	reply, err := handler(ctx, request)
+	var reply any
+
+	err := s.contain(ctx, request, func() (err error) {
+		reply, err = handler(ctx, request)
+
+		return err
+	})
 	if err != nil {
 		s.sendLast(stream, request.method, errorEnvelope(err))
 
@@ -122,13 +131,15 @@
 func (s *Server) handleStream(
 	ctx, acceptCtx context.Context, stream *quic.Stream, request *Request, handler StreamHandler,
 ) {
-	err := handler(ctx, request, func(item any) error {
-		body, err := cbor.Marshal(item)
-		if err != nil {
-			return &Error{operation: "encode", kind: KindInvalid, err: err}
-		}
-
-		return s.write(stream, request.method, envelope{Body: body})
+	err := s.contain(ctx, request, func() error {
+		return handler(ctx, request, func(item any) error {
+			body, err := cbor.Marshal(item)
+			if err != nil {
+				return &Error{operation: "encode", kind: KindInvalid, err: err}
+			}
+
+			return s.write(stream, request.method, envelope{Body: body})
+		})
 	})
 
 	last := envelope{End: true}
@@ -143,6 +154,28 @@
 	s.sendLast(stream, request.method, last)
 }
 
+// contain turns the panic of a handler into an error, so that one request does not end
+// the process. Violated invariants do end it.
+func (s *Server) contain(ctx context.Context, request *Request, handle func() error) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+
+		if _, violated := cause.(*invariant.ViolationError); violated {
+			panic(cause)
+		}
+
+		s.logger.Error("a handler panicked", "method", request.method, "caller", Peer(ctx).String(),
+			"bytes", request.Size(), "cause", cause, "stack", string(debug.Stack()))
+
+		err = Errorf(KindInternal, "%s panicked", request.method)
+	}()
+
+	return handle()
+}
+
 // sendLast sends the last envelope. A failure is only logged, because the caller
 // can no longer be reached.
 func (s *Server) sendLast(stream *quic.Stream, method string, last envelope) {
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -322,6 +322,28 @@
 	is.True(connected)
 }
 
+// Guards against a process that ends because one of its handlers panics on a request,
+// and against a caller that is not told that its call has failed.
+func TestPanic(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t)
+	server, _ := n.serve("c1", func(s *link.Server) {
+		s.Handle("echo", echo)
+		s.Handle("crash", func(context.Context, *link.Request) (any, error) { panic("unexpected") })
+		s.HandleStream("crash-stream", func(context.Context, *link.Request, func(any) error) error { panic("unexpected") })
+	})
+	client := n.dial("operator", server.Address())
+
+	is.Equal(link.KindOf(client.Call(n.ctx, "crash", message{}, nil)), link.KindInternal)
+
+	stream, err := client.Stream(n.ctx, "crash-stream", message{})
+	is.NoErr(err)
+
+	_, err = stream.Next(&message{})
+	is.Equal(link.KindOf(err), link.KindInternal)
+	is.NoErr(client.Call(n.ctx, "echo", message{}, nil))
+}
+
 // Guards against a graceful shutdown that aborts a call in progress.
 func TestGracefulClose(t *testing.T) {
 	is := is.New(t)
