Do not hand a request over under a claim from before a suspension

Cause: the age of a claim was measured by the monotonic clock, which stands still while a machine is suspended. An agent that resumed after the claim had been granted handed the request over, although the holders may have dropped the claim and another agent may have run the request.

Change: the time of suspension since the claim began counts.

Before: TestSuspendedClaim (new) runs the request; after: not run.

--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"jayspindle/internal/coordination/claim"
+	"jayspindle/internal/program/uptime"
 	"jayspindle/internal/state/view"
 	"jayspindle/internal/transport/link"
 )
@@ -58,7 +59,10 @@
 	serviceID      func() view.ServiceID
 	viewConfirmed  func(now time.Time) bool // whether a leader has confirmed the view recently
 	siblingClient  func(agent view.Agent) rpcClient
-	logger         *slog.Logger
+	// suspended returns for how long the machine has been suspended so far, nil means
+	// uptime.Suspended.
+	suspended func() time.Duration
+	logger    *slog.Logger
 }
 
 // claims runs non-idempotent requests at most once. One goroutine owns the
@@ -99,9 +103,10 @@
 
 // activeClaim is a claimant and the request that waits for its decision.
 type activeClaim struct {
-	claimant *claim.Claimant
-	decided  chan claim.Decision // buffered; closed after the decision
-	recorded chan struct{}       // closed when a majority of the holders has recorded the outcome
+	claimant  *claim.Claimant
+	suspended time.Duration       // of the machine when the claim began
+	decided   chan claim.Decision // buffered; closed after the decision
+	recorded  chan struct{}       // closed when a majority of the holders has recorded the outcome
 }
 
 func newClaims(options claimOptions) *claims {
@@ -117,6 +122,10 @@
 		options.maxUnconfirmed = maxUnconfirmed
 	}
 
+	if options.suspended == nil {
+		options.suspended = uptime.Suspended
+	}
+
 	return &claims{
 		claimOptions:      options,
 		events:            make(chan func(now time.Time), 64),
@@ -343,9 +352,10 @@
 		execution := claim.Execution{Agent: c.self(), Sequence: c.sequence}
 		key := claim.Key{Service: c.serviceID(), Token: token}
 		active = &activeClaim{
-			claimant: claim.Begin(now, key, execution, c.history),
-			decided:  decided,
-			recorded: make(chan struct{}),
+			claimant:  claim.Begin(now, key, execution, c.history),
+			suspended: c.suspended(),
+			decided:   decided,
+			recorded:  make(chan struct{}),
 		}
 		c.active[c.sequence] = active
 	})
--- a/internal/program/agent/claims_test.go
+++ b/internal/program/agent/claims_test.go
@@ -42,7 +42,9 @@
 	placer    *placer
 	dead      bool
 	confirmed bool
-	stop      context.CancelFunc
+	// suspendedFor is how long the machine of the agent has been suspended.
+	suspendedFor time.Duration
+	stop         context.CancelFunc
 }
 
 // newFleet starts agents that are ready to claim. It must run in a
@@ -72,6 +74,7 @@
 		serviceID:     func() view.ServiceID { return 1 },
 		viewConfirmed: func(time.Time) bool { f.mutex.Lock(); defer f.mutex.Unlock(); return n.confirmed },
 		siblingClient: func(agent view.Agent) rpcClient { return lossyPath{from: n, to: agent.Incarnation} },
+		suspended:     func() time.Duration { f.mutex.Lock(); defer f.mutex.Unlock(); return n.suspendedFor },
 		logger:        slog.New(slog.DiscardHandler),
 	})
 	n.placer, _ = newScripted(1)
@@ -458,6 +461,28 @@
 	})
 }
 
+// TestSuspendedClaim guards against a request that runs under a claim from before the
+// machine was suspended: the holders have dropped it, and another agent may have run the
+// request, but the clock of the agent stood still.
+func TestSuspendedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 3)
+		defer f.close()
+
+		n := f.nodes[1]
+		active, decision := n.begin(t.Context(), "key")
+		is.Equal(decision.Verdict, claim.Run)
+
+		f.withLock(func() { n.suspendedFor = claim.HandOverLimit + time.Second })
+
+		c := newTestCall(report, "POST")
+		c.key = "key"
+		is.Equal(n.execute(t.Context(), active, c, n.placer).state, peer.NotRun)
+		is.Equal(f.runs["key"], 0)
+	})
+}
+
 // TestSingleAgentService guards against a service of one agent that never accepts
 // non-idempotent requests because it waits for more agents.
 func TestSingleAgentService(t *testing.T) {
--- a/internal/program/agent/runonce.go
+++ b/internal/program/agent/runonce.go
@@ -67,7 +67,7 @@
 
 	mayStart := false
 
-	c.do(ctx, func(now time.Time) { mayStart = active.claimant.HandOver(now) })
+	c.do(ctx, func(now time.Time) { mayStart = active.claimant.HandOver(now.Add(c.suspended() - active.suspended)) })
 
 	if !mayStart {
 		return notRun(causeClaim, "claimed too long ago")
