--- a/internal/coordination/claim/claimant_test.go
+++ b/internal/coordination/claim/claimant_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// TestForeignReplies guards against a claim that counts replies to another claim: to an
+// earlier execution of the same agent, or for another key.
+func TestForeignReplies(t *testing.T) {
+	is := is.New(t)
+	claimant := newClaimant(t, key, 3)
+
+	for seat := view.Incarnation(1); seat <= 3; seat++ {
+		for _, reply := range []claim.Reply{
+			{Key: key, Execution: firstExecution},
+			{Key: claim.Key{Service: 1, Token: "another"}, Execution: secondExecution},
+		} {
+			reply.Seat, reply.Status, reply.Verb = seat, claim.Granted, claim.Grant
+			claimant.Reply(start, reply)
+		}
+	}
+
+	is.Equal(claimant.Decision().Verdict, claim.Pending)
+}
+
 // TestMoved guards against a claimant that continues to send requests to an
 // agent whose seat has moved.
 func TestMoved(t *testing.T) {
