--- a/internal/program/agent/claims.go
+++ b/internal/program/agent/claims.go
@@ -392,6 +392,19 @@
 	return nil
 }
 
+// decodeFromSibling decodes the request of an agent of the same service.
+func decodeFromSibling[M any](ctx context.Context, c *claims, request *link.Request) (M, error) {
+	var message M
+
+	if err := c.checkPeer(ctx); err != nil {
+		return message, err
+	}
+
+	err := request.Decode(&message)
+
+	return message, err
+}
+
 func (c *claims) handleClaim(ctx context.Context, request *link.Request) (any, error) {
 	if err := c.checkPeer(ctx); err != nil {
 		return nil, err
--- a/internal/program/agent/closing.go
+++ b/internal/program/agent/closing.go
@@ -210,12 +210,8 @@
 }
 
 func (c *claims) handleSeal(ctx context.Context, request *link.Request) (any, error) {
-	if err := c.checkPeer(ctx); err != nil {
-		return nil, err
-	}
-
-	var seal claim.Seal
-	if err := request.Decode(&seal); err != nil {
+	seal, err := decodeFromSibling[claim.Seal](ctx, c, request)
+	if err != nil {
 		return nil, err
 	}
 
@@ -243,12 +239,8 @@
 }
 
 func (c *claims) handleCarry(ctx context.Context, request *link.Request) (any, error) {
-	if err := c.checkPeer(ctx); err != nil {
-		return nil, err
-	}
-
-	var seal claim.Seal
-	if err := request.Decode(&seal); err != nil {
+	seal, err := decodeFromSibling[claim.Seal](ctx, c, request)
+	if err != nil {
 		return nil, err
 	}
 
@@ -309,12 +301,8 @@
 }
 
 func (c *claims) handleAdopt(ctx context.Context, request *link.Request) (any, error) {
-	if err := c.checkPeer(ctx); err != nil {
-		return nil, err
-	}
-
-	var carried carriedClaims
-	if err := request.Decode(&carried); err != nil {
+	carried, err := decodeFromSibling[carriedClaims](ctx, c, request)
+	if err != nil {
 		return nil, err
 	}
 
@@ -343,12 +331,8 @@
 }
 
 func (c *claims) handleClosed(ctx context.Context, request *link.Request) (any, error) {
-	if err := c.checkPeer(ctx); err != nil {
-		return nil, err
-	}
-
-	var closing claim.Closing
-	if err := request.Decode(&closing); err != nil {
+	closing, err := decodeFromSibling[claim.Closing](ctx, c, request)
+	if err != nil {
 		return nil, err
 	}
 
--- a/internal/state/invariant/invariant.go
+++ b/internal/state/invariant/invariant.go
@@ -43,3 +43,11 @@
 		panic(&ViolationError{name: name, attributes: attributes})
 	}
 }
+
+// Repanic panics again with a recovered value if it is a violation. Those who contain
+// the panics of others call it first.
+func Repanic(cause any) {
+	if violation, ok := cause.(*ViolationError); ok {
+		panic(violation)
+	}
+}
--- a/internal/transport/link/answer.go
+++ b/internal/transport/link/answer.go
@@ -163,9 +163,7 @@
 			return
 		}
 
-		if _, violated := cause.(*invariant.ViolationError); violated {
-			panic(cause)
-		}
+		invariant.Repanic(cause)
 
 		s.logger.Error("a handler panicked", "method", request.method, "caller", Peer(ctx).String(),
 			"bytes", request.Size(), "cause", cause, "stack", string(debug.Stack()))
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -108,9 +108,7 @@
 			return
 		}
 
-		if _, violated := cause.(*invariant.ViolationError); violated {
-			panic(cause)
-		}
+		invariant.Repanic(cause)
 
 		start := hex.EncodeToString(datagram[:min(len(datagram), loggedBytes)])
 		s.logger.Error("a handler panicked, dropped the datagram", "from", from, "bytes", len(datagram),
