Follow changes of the list of agents at a cost that its size does not set

Cause: after each change, entry instances looked for the first agent of every flow among all agents, and each report of a load rebuilt the index of services.

Change: a flow remembers its first agent and score and looks only at the agents that have changed since; the index is rebuilt when agents come, go or change their service.

Test: TestPointersFollowChanges fails if a first agent that has left is kept.

--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -44,7 +44,8 @@
 	probesSince   time.Time
 	assignedAt    time.Time
 	pointer       pointerPlace // where other entry instances find the agent of the flow
-	membership    uint64       // the Router's when the pointer was last checked
+	first         ranked       // the agent that other entry instances ask first
+	membership    uint64       // changes of the list of agents that first accounts for
 
 	*pending // nil once the flow is assigned or its search has ended
 }
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -51,7 +51,7 @@
 func (r *Router) runStage(now time.Time, target *route.Route, key flow.Key, e *entry) bool {
 	switch e.stage {
 	case askFirst:
-		first := r.firstAgent(key)
+		first := r.agents[r.firstAgent(key).address]
 
 		return first != nil && r.ask(now, key, e, []*agent{first}, &r.questions.candidates)
 	case askCandidates:
@@ -61,7 +61,7 @@
 	case probeUnsure:
 		return r.probe(now, key, e, maxEarlyProbes)
 	case askOthers:
-		return r.ask(now, key, e, r.allAgents(), &r.questions.others)
+		return r.ask(now, key, e, slices.Clone(r.allAgents), &r.questions.others)
 	default:
 		// The flow can only be held by an agent that is unsure.
 		return e.incomplete == ReasonNone && r.probe(now, key, e, maxProbes)
@@ -119,15 +119,6 @@
 	return found[:min(limit, len(found))]
 }
 
-func (r *Router) allAgents() []*agent {
-	found := make([]*agent, 0, len(r.agents))
-	for _, a := range r.agents {
-		found = append(found, a)
-	}
-
-	return found
-}
-
 // probe sends the first packet to the next unsure agent, and reports false if there
 // is none, or if limit agents have got one recently.
 func (r *Router) probe(now time.Time, key flow.Key, e *entry, limit int) bool {
@@ -343,7 +334,7 @@
 	for address, a := range r.agents {
 		if !a.missingSince.IsZero() && now.Sub(a.missingSince) > roster.GoneTimeout {
 			delete(r.agents, address)
-			r.membership++
+			r.changes.add(address)
 		}
 	}
 
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -268,6 +268,83 @@
 	}
 }
 
+// BenchmarkPointers reports the time in which an entry instance checks the pointer of one
+// flow after a change of the list of agents.
+func BenchmarkPointers(b *testing.B) {
+	const flows = 200 // below the limit of one interval
+
+	for _, count := range []int{300, 26_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			f := newFixture(&testing.T{}, count)
+			for number := range flows {
+				f.openFlow(client(number))
+			}
+
+			f.now = f.now.Add(2 * time.Second)
+			f.router.Tick(f.now)
+			b.ResetTimer()
+
+			for round := range b.N {
+				changed := agents(1, roster.Ready)
+				changed[0].Boot = uint64(round + 2)
+				f.router.Apply(f.now, changed, false)
+
+				f.now = f.now.Add(time.Second)
+				f.router.Tick(f.now)
+			}
+
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*flows), "ns/flow")
+		})
+	}
+}
+
+// TestPointersFollowChanges guards against a pointer that is not left again although
+// another agent has become the first one, however many changes the list had.
+func TestPointersFollowChanges(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newFixture(t, 40)
+
+	holders := make(map[flow.Key]flow.Endpoint)
+	for number := range 100 {
+		holders[client(number)] = f.openFlow(client(number))
+	}
+
+	pointed := make(map[flow.Key]flow.Endpoint)
+
+	for round := range 120 {
+		for range random.IntN(1 + round*5) {
+			record := agents(60, roster.Ready)[40+random.IntN(20)]
+			if random.IntN(2) == 0 {
+				record.State = roster.Gone
+			}
+
+			f.router.Apply(f.now, []roster.Record{record}, false)
+		}
+
+		f.now = f.now.Add(500 * time.Millisecond)
+		for _, action := range f.router.Tick(f.now) {
+			pointed[action.Key] = action.To
+		}
+	}
+
+	// Another entry instance with the same list asks the agents that have the pointers.
+	other := newFixture(t, 0)
+	f.router.Apply(f.now, agents(50, roster.Ready), true)
+	f.router.Apply(f.now, agents(60, roster.Gone)[50:], false)
+	other.router.Apply(f.now, agents(50, roster.Ready), true)
+
+	f.now = f.now.Add(time.Second)
+	for _, action := range f.router.Tick(f.now) {
+		pointed[action.Key] = action.To
+	}
+
+	for key, holder := range holders {
+		asked := other.askedAgents(key, other.router.Packet(other.now, requestHeader(key, 1), []byte("one")))[0]
+		f.is.True(asked == pointed[key] || asked == holder)
+		other.answer(asked, flow.Held)
+	}
+}
+
 // TestPointer guards against a flow that is not found because the service has grown
 // many times over since it was opened, or because its route now leads to another
 // service, and against a pointer that is followed again after the agent has denied the
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -288,10 +288,11 @@
 	suspended      time.Duration // of the machine, up to lastConfirmed
 	agents         map[flow.Endpoint]*agent
 	services       map[string][]*agent
+	allAgents      []*agent // of all services; a slice, because searches and pointers go through all of them
 	flows          map[flow.Key]*entry
 	pendingFlows   map[flow.Key]*entry
 	lastSweep      time.Time
-	membership     uint64 // increases when agents come, go or restart
+	changes        membershipChanges // of the list of agents
 	pointersPlaced time.Time
 	questions      *questions
 	nearBudget     *rate.Limiter // in bytes
@@ -351,9 +352,11 @@
 func (r *Router) Apply(now time.Time, records []roster.Record, complete bool) {
 	listed := make(map[flow.Endpoint]bool, len(records))
 
+	regroup := false
+
 	for _, record := range records {
 		listed[record.Address] = true
-		r.applyRecord(record)
+		regroup = r.applyRecord(record) || regroup
 	}
 
 	if complete {
@@ -364,23 +367,31 @@
 		}
 	}
 
-	r.indexServices()
+	if regroup {
+		r.indexServices()
+	}
+
 	r.otherBudget.SetBurstAt(now, otherBurstFlows*len(r.agents)*batchedKeyBytes)
 }
 
 func (r *Router) indexServices() {
 	r.services = make(map[string][]*agent, len(r.services))
+	r.allAgents = r.allAgents[:0]
+
 	for _, a := range r.agents {
 		r.services[a.Service] = append(r.services[a.Service], a)
+		r.allAgents = append(r.allAgents, a)
 	}
 }
 
-func (r *Router) applyRecord(record roster.Record) {
+// applyRecord reports whether the agents of a service have changed, rather than only
+// the state or the load of one.
+func (r *Router) applyRecord(record roster.Record) bool {
 	if record.State == roster.Gone {
 		delete(r.agents, record.Address)
-		r.membership++
+		r.changes.add(record.Address)
 
-		return
+		return true
 	}
 
 	known := r.agents[record.Address]
@@ -391,15 +402,18 @@
 		r.agents[record.Address] = known
 	}
 
-	r.observeMembership(known, record)
-
 	// An agent that announces itself again after a restart is no longer suspect.
 	if known.Boot != record.Boot {
 		known.suspectUntil = time.Time{}
+		r.changes.add(record.Address)
 	}
 
+	regroup := known.Service != record.Service
+
 	known.Record = record
 	known.flowsSinceReport, known.missingSince = 0, time.Time{}
+
+	return regroup
 }
 
 // Confirm records that a controller has just confirmed that document and agents
