--- a/internal/protocol/wire/fuzz_test.go
+++ b/internal/protocol/wire/fuzz_test.go
@@ -49,43 +49,48 @@
 		f.Add(message)
 	}
 
-	f.Fuzz(func(t *testing.T, message []byte) {
-		kind, body, ok := wire.Split(message)
-		if !ok {
-			return
-		}
+	f.Fuzz(checkMessage)
+}
 
-		switch kind {
-		case wire.KindAccepted:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseAccepted(body); return m.Append(nil), err })
-		case wire.KindFound:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseFound(body); return m.Append(nil), err })
-		case wire.KindPointer:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParsePointer(body); return m.Append(nil), err })
-		case wire.KindReturned:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseReturned(body); return m.Append(nil), err })
-		case wire.KindLocate:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseLocate(body); return m.Append(nil), err })
-		case wire.KindLocated:
-			assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseLocated(body); return m.Append(nil), err })
-		case wire.KindPoll:
-			if poll, err := wire.Decode[wire.Poll](body); err == nil && poll.Agent != nil {
-				_ = poll.Agent.State.String()
-			}
-		case wire.KindPollReply:
-			decode[wire.PollReply](body)
-		case wire.KindFetch:
-			decode[wire.Fetch](body)
-		case wire.KindJoin:
-			decode[wire.Join](body)
-		case wire.KindJoinReply:
-			decode[wire.JoinReply](body)
-		case wire.KindRestore:
-			decode[wire.Restore](body)
-		default:
-			// Other kinds have no body, or one that another package decodes.
+// checkMessage decodes a message of any kind.
+func checkMessage(t *testing.T, message []byte) {
+	t.Helper()
+
+	kind, body, ok := wire.Split(message)
+	if !ok {
+		return
+	}
+
+	switch kind {
+	case wire.KindAccepted:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseAccepted(body); return m.Append(nil), err })
+	case wire.KindFound:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseFound(body); return m.Append(nil), err })
+	case wire.KindPointer:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParsePointer(body); return m.Append(nil), err })
+	case wire.KindReturned:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseReturned(body); return m.Append(nil), err })
+	case wire.KindLocate:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseLocate(body); return m.Append(nil), err })
+	case wire.KindLocated:
+		assertPrefix(t, message, func() ([]byte, error) { m, err := wire.ParseLocated(body); return m.Append(nil), err })
+	case wire.KindPoll:
+		if poll, err := wire.Decode[wire.Poll](body); err == nil && poll.Agent != nil {
+			_ = poll.Agent.State.String()
 		}
-	})
+	case wire.KindPollReply:
+		decode[wire.PollReply](body)
+	case wire.KindFetch:
+		decode[wire.Fetch](body)
+	case wire.KindJoin:
+		decode[wire.Join](body)
+	case wire.KindJoinReply:
+		decode[wire.JoinReply](body)
+	case wire.KindRestore:
+		decode[wire.Restore](body)
+	default:
+		// Other kinds have no body, or one that another package decodes.
+	}
 }
 
 // decode only has to return.
