--- a/internal/coordination/steering/limits.go
+++ b/internal/coordination/steering/limits.go
@@ -27,9 +27,9 @@
 	// nothing but first packets.
 	maxOffers = 3
 
-	// likelyTimeout is how long the likely agents may take to answer whether they
+	// candidatesTimeout is how long the candidates for a flow may take to answer whether they
 	// hold a flow. They answer without asking their backend servers.
-	likelyTimeout = 60 * time.Millisecond
+	candidatesTimeout = 60 * time.Millisecond
 
 	// nextTimeout is the corresponding timeout for the agents of the next ranks.
 	nextTimeout = 100 * time.Millisecond
--- a/internal/coordination/steering/question.go
+++ b/internal/coordination/steering/question.go
@@ -86,7 +86,7 @@
 func newQuestions(firstID uint32) *questions {
 	return &questions{
 		nextID:     firstID,
-		candidates: newQuestionBatch(candidatesBatchDelay, likelyTimeout),
+		candidates: newQuestionBatch(candidatesBatchDelay, candidatesTimeout),
 		nextRanks:  newQuestionBatch(nextBatchDelay, nextTimeout),
 		others:     newQuestionBatch(otherBatchDelay, otherTimeout),
 		sent:       make(map[uint32]sentQuestion),
