--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -162,7 +163,8 @@
 	f.stream.received = nil
 	f.lastUse = time.Now()
 	f.stream.write(time.Now(), []byte(fmt.Sprintf(
-		"GET /feed HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nWant-Bytes: %d\r\n\r\n", f.route, id, bytesWanted)))
+		"GET /feed HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nWant-Bytes: %d\r\nCookie: %s\r\n\r\n",
+		f.route, id, bytesWanted, strings.Repeat("c", w.padding))))
 
 	for deadline := time.Now().Add(budget); time.Now().Before(deadline); {
 		if done, served := f.step(id); done {
--- a/review/standin/explorefaults.go
+++ b/review/standin/explorefaults.go
@@ -17,6 +17,11 @@
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	r := rand.New(rand.NewPCG(seed, 9))
 
+	if os.Getenv("HASH") != "" {
+		w.hash = os.Getenv("HASH")
+	}
+
+	w.padding, _ = strconv.Atoi(os.Getenv("PADDING"))
 	w.deploy(3, 4)
 
 	ending := time.Now().Add(88 * time.Second)
--- a/review/standin/exploreplanned.go
+++ b/review/standin/exploreplanned.go
@@ -19,6 +19,11 @@
 	r := rand.New(rand.NewPCG(seed, 7))
 	length := 80 * time.Second
 
+	if os.Getenv("HASH") != "" {
+		w.hash = os.Getenv("HASH")
+	}
+
+	w.padding, _ = strconv.Atoi(os.Getenv("PADDING"))
 	w.deploy(3, 4)
 
 	ending := time.Now().Add(length)
@@ -27,7 +32,7 @@
 
 	for i := range 40 {
 		c := w.newClient(i)
-		pause := []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second, 6 * time.Second}[i%4]
+		pause := []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second, 9 * time.Second}[i%4]
 
 		clients.Go(func() {
 			for time.Now().Before(ending) {
@@ -106,71 +111,49 @@
 		}
 	}()
 
-	busy := make(map[string]time.Time)
-	free := func(role string) *machine {
-		var found []*machine
+	var rollers sync.WaitGroup
 
-		for _, m := range w.of(role) {
-			if time.Since(busy[m.name]) > 1500*time.Millisecond {
-				found = append(found, m)
-			}
-		}
+	until := ending.Add(-10 * time.Second)
 
-		if len(found) == 0 {
-			return nil
-		}
+	for _, role := range []string{"balancer", "agent", "agent", "controller"} {
+		own := rand.New(rand.NewPCG(r.Uint64(), 1))
 
-		return found[r.IntN(len(found))]
-	}
+		rollers.Go(func() {
+			for time.Now().Before(until) {
+				time.Sleep(time.Duration(own.IntN(1200)) * time.Millisecond)
 
-	roll := func(role string) {
-		m := free(role)
-		if m == nil {
-			return
-		}
+				list := w.of(role)
+				m := list[own.IntN(len(list))]
+
+				if m.busy.Swap(true) {
+					continue
+				}
 
-		busy[m.name] = time.Now().Add(10 * time.Second)
-		delay := time.Duration(50+r.IntN(500)) * time.Millisecond
+				m.stop()
+				time.Sleep(time.Duration(30+own.IntN(1100)) * time.Millisecond)
+				w.start(m)
 
-		m.stop()
-		time.Sleep(delay)
-		w.start(m)
-		busy[m.name] = time.Now()
+				// The next stop does not meet the state before the first ping, which the case
+				// two-stops shows.
+				time.AfterFunc(1200*time.Millisecond, func() { m.busy.Store(false) })
+			}
+		})
 	}
 
-	number := 10
-
-	for time.Now().Before(ending.Add(-10 * time.Second)) {
-		time.Sleep(time.Duration(r.IntN(600)) * time.Millisecond)
-
-		switch r.IntN(8) {
-		case 0, 1:
-			roll("balancer")
-		case 2, 3:
-			roll("agent")
-		case 4, 5:
-			roll("controller")
-		case 6:
-			m := free("agent")
-			if m == nil || m.backend == nil || m.backend.leaving {
-				continue
-			}
+	rollers.Go(func() {
+		for time.Now().Before(until) {
+			time.Sleep(3 * time.Second)
 
-			busy[m.name] = time.Now().Add(time.Hour)
-			number++
-			old := m.backend
-
-			go func() {
-				old.drain(time.Duration(rand.IntN(2000)) * time.Millisecond)
-				time.Sleep(100 * time.Millisecond)
-				m.backend = w.startBackend(m, 1, 15*time.Millisecond)
-				busy[m.name] = time.Now()
-			}()
-		case 7:
-			roll("agent")
-			roll("balancer")
+			list := w.of("agent")
+			m := list[r.IntN(len(list))]
+
+			// The agent may be restarted meanwhile.
+			m.backend.drain(time.Duration(r.IntN(5000)) * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			w.startBackend(m, 1, 15*time.Millisecond)
 		}
-	}
+	})
 
+	rollers.Wait()
 	clients.Wait()
 }
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -77,8 +77,12 @@
 
 	var bestScore uint64
 
+	if r.world.hash == "mod" {
+		best = r.pickMod(client, route)
+	}
+
 	for _, m := range r.world.of("balancer") {
-		if !r.in[m.name] {
+		if !r.in[m.name] || r.world.hash == "mod" {
 			continue
 		}
 
@@ -95,3 +99,24 @@
 		_, _ = conn.WriteToUDPAddrPort(raw, best.at(portData))
 	}
 }
+
+// pickMod selects a node with the hash "mod": nearly all flows move when a node joins or
+// leaves. The caller holds the mutex.
+func (r *router) pickMod(client, route netip.AddrPort) *machine {
+	var in []*machine
+
+	for _, m := range r.world.of("balancer") {
+		if r.in[m.name] {
+			in = append(in, m)
+		}
+	}
+
+	if len(in) == 0 {
+		return nil
+	}
+
+	sum := fnv.New64a()
+	sum.Write([]byte(client.String() + route.String()))
+
+	return in[sum.Sum64()%uint64(len(in))]
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -70,6 +70,8 @@
 	router   *router
 	clients  map[int]*client
 	slots    int
+	hash     string // of the routers
+	padding  int    // bytes that make requests larger
 	work     time.Duration
 	closing  atomic.Bool
 	begin    time.Time
@@ -113,7 +115,7 @@
 	}
 
 	w := &world{
-		folder: folder, out: out, begin: time.Now(), slots: 3, work: 22 * time.Millisecond,
+		folder: folder, out: out, begin: time.Now(), hash: "steady", slots: 3, work: 22 * time.Millisecond,
 		clients: make(map[int]*client), requests: make(map[string]string), runs: make(map[string]int), counts: make(map[string]int),
 		trouble: os.Getenv("TROUBLE") != "0",
 	}
@@ -297,10 +299,10 @@
   flowMs: 2000
   maxFlowS: 60
 config_mode: "highest"
-hash: "steady"
+hash: %q
 deploymentMode: "agent"
 %s`, m.name, m.role, class[0], class[1], m.ip, listen, w.ports[portInner], w.ports[portInner]+10,
-		strings.Join(seeds, "\n"), bootstrap, m.role == "controller", memoryLimit, heartbeat.Milliseconds(), extra)
+		strings.Join(seeds, "\n"), bootstrap, m.role == "controller", memoryLimit, heartbeat.Milliseconds(), w.hash, extra)
 
 	w.must(os.WriteFile(w.settings(m), []byte(text), 0o600))
 }
