Make the cases of the review repeatable and give them controls

The restart now takes 300 ms, and the case runs 300 ms between the stops. Case 4 loses power once in place of three times. CONTROL=1 plays each disruption without the part that matters.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -72,6 +72,10 @@
 			continue
 		}
 
+		if rand.Float64() < c.world.loss {
+			continue
+		}
+
 		p, ok := parse(bytes.Clone(buffer[:n]))
 		if !ok || (!p.genuine() && !p.systemReset()) {
 			c.world.violate("MIXED: client %s got a packet that its sender didn't write so: %x", c.ip, buffer[:min(n, headBytes)])
--- a/review/standin/explorefaults.go
+++ b/review/standin/explorefaults.go
@@ -22,6 +22,13 @@
 	}
 
 	w.padding, _ = strconv.Atoi(os.Getenv("PADDING"))
+	w.loss, _ = strconv.ParseFloat(os.Getenv("LOSS"), 64)
+
+	if work, err := time.ParseDuration(os.Getenv("WORK")); err == nil {
+		w.work = work
+	}
+
+	w.jitter, _ = time.ParseDuration(os.Getenv("JITTER"))
 	w.deploy(3, 4)
 
 	ending := time.Now().Add(88 * time.Second)
--- a/review/standin/exploreplanned.go
+++ b/review/standin/exploreplanned.go
@@ -23,7 +23,19 @@
 		w.hash = os.Getenv("HASH")
 	}
 
+	longFlows := 1
+	if os.Getenv("FRESH") != "" {
+		longFlows = 0
+	}
+
 	w.padding, _ = strconv.Atoi(os.Getenv("PADDING"))
+	w.loss, _ = strconv.ParseFloat(os.Getenv("LOSS"), 64)
+
+	if work, err := time.ParseDuration(os.Getenv("WORK")); err == nil {
+		w.work = work
+	}
+
+	w.jitter, _ = time.ParseDuration(os.Getenv("JITTER"))
 	w.deploy(3, 4)
 
 	ending := time.Now().Add(length)
@@ -43,14 +55,14 @@
 					continue
 				}
 
-				for n := rand.IntN(30); n >= 0 && time.Now().Before(ending) && f.finished == ""; n-- {
+				for n := rand.IntN(1 + 29*longFlows); n >= 0 && time.Now().Before(ending) && f.finished == ""; n-- {
 					if !f.request([]int{500, 2000, 40000}[rand.IntN(3)], 8*time.Second) && f.finished == "" {
 						if h := w.holderOf(f.end, f.route); h != nil {
 							w.violate("HANG: flow %s request not answered though %s holds it", f.end, h.id)
 						}
 					}
 
-					f.idle(pause)
+					f.idle(pause * time.Duration(longFlows))
 				}
 
 				f.close()
--- a/review/standin/firstping.go
+++ b/review/standin/firstping.go
@@ -14,7 +14,7 @@
 	const (
 		flows      = 40
 		length     = 12 * time.Second
-		startDelay = 100 * time.Millisecond
+		startDelay = 250 * time.Millisecond
 	)
 
 	w.deploy(2, 2)
@@ -23,7 +23,13 @@
 	w.writeSettings(side, false)
 	w.start(side)
 	time.Sleep(stableWindow)
-	w.startBackend(side, 0, 50*time.Millisecond)
+
+	firstSeq := uint64(0)
+	if w.control { // pings that count from 1 are understood
+		firstSeq = 1
+	}
+
+	w.startBackend(side, firstSeq, 50*time.Millisecond)
 	w.waitFor("the first ping", 2*time.Second, func() bool { return !side.backend.lastPing().IsZero() })
 
 	var clients sync.WaitGroup
--- a/review/standin/flap.go
+++ b/review/standin/flap.go
@@ -36,7 +36,13 @@
 		side := w.of("agent")[0]
 		side.backend.crash()
 		time.Sleep(down)
-		w.startBackend(side, 1, heartbeat)
+
+		firstPing := heartbeat
+		if w.control { // a ping before the first flow is understood
+			firstPing = 0
+		}
+
+		w.startBackend(side, 1, firstPing)
 	}
 
 	for i := range late {
--- a/review/standin/powerloss.go
+++ b/review/standin/powerloss.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -12,10 +13,15 @@
 func powerLoss(w *world) {
 	const (
 		flows  = 9
-		length = 26 * time.Second
+		length = 14 * time.Second
 		dark   = 1 * time.Second
 	)
 
+	bytesWanted := 40000
+	if w.control { // small responses keep the checkpoint near enough
+		bytesWanted = 2000
+	}
+
 	w.judgeDistance = true
 	w.calm(time.Now().Add(time.Hour)) // only the resets' sequence numbers are judged
 	w.deploy(2, 3)
@@ -37,7 +43,7 @@
 				}
 
 				for time.Now().Before(ending) && f.finished == "" {
-					f.request(40000, 8*time.Second)
+					f.request(bytesWanted, 8*time.Second)
 					f.idle(60 * time.Millisecond)
 				}
 
@@ -46,20 +52,18 @@
 		})
 	}
 
-	for range 3 {
-		time.Sleep(6 * time.Second)
+	time.Sleep(6 * time.Second)
 
-		if w.trouble {
-			side := w.of("agent")[0]
-			w.record("%s loses power", side.name)
-			side.signal(9)
-			side.backend.crash()
-			<-side.exited
-			time.Sleep(dark)
-			w.start(side)
-			time.Sleep(50 * time.Millisecond)
-			w.startBackend(side, 1, 100*time.Millisecond)
-		}
+	if w.trouble {
+		side := w.of("agent")[0]
+		w.record("%s loses power", side.name)
+		side.signal(syscall.SIGKILL)
+		side.backend.crash()
+		<-side.exited
+		time.Sleep(dark)
+		w.start(side)
+		time.Sleep(50 * time.Millisecond)
+		w.startBackend(side, 1, 100*time.Millisecond)
 	}
 
 	clients.Wait()
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -95,9 +96,19 @@
 	}
 	r.mutex.Unlock()
 
-	if best != nil {
-		_, _ = conn.WriteToUDPAddrPort(raw, best.at(portData))
+	if best == nil || rand.Float64() < r.world.loss {
+		return
 	}
+
+	deliver := func() { _, _ = conn.WriteToUDPAddrPort(raw, best.at(portData)) }
+
+	if r.world.jitter > 0 {
+		time.AfterFunc(rand.N(r.world.jitter), deliver)
+
+		return
+	}
+
+	deliver()
 }
 
 // pickMod selects a node with the hash "mod": nearly all flows move when a node joins or
--- a/review/standin/twostops.go
+++ b/review/standin/twostops.go
@@ -13,8 +13,8 @@
 	const (
 		flows       = 12
 		length      = 20 * time.Second
-		startDelay  = 100 * time.Millisecond // until the platform starts a process again
-		secondAfter = 500 * time.Millisecond // from the start to the second SIGTERM
+		startDelay  = 300 * time.Millisecond // until the platform starts a process again
+		secondAfter = 300 * time.Millisecond // from the start to the second SIGTERM
 	)
 
 	w.deploy(2, 3)
@@ -43,10 +43,13 @@
 		side.stop()
 		time.Sleep(startDelay)
 		w.start(side)
-		time.Sleep(secondAfter)
-		side.stop()
-		time.Sleep(startDelay)
-		w.start(side)
+
+		if !w.control { // one stop is borne
+			time.Sleep(secondAfter)
+			side.stop()
+			time.Sleep(startDelay)
+			w.start(side)
+		}
 	}
 
 	clients.Wait()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -70,12 +70,15 @@
 	router   *router
 	clients  map[int]*client
 	slots    int
-	hash     string // of the routers
-	padding  int    // bytes that make requests larger
+	hash     string        // of the routers
+	padding  int           // bytes that make requests larger
+	loss     float64       // share of the packets between clients and fronts that is lost
+	jitter   time.Duration // longest delay of a client's packet
 	work     time.Duration
 	closing  atomic.Bool
 	begin    time.Time
 	trouble  bool
+	control  bool // CONTROL=1: the disruption comes, without the part that matters
 
 	judgeDistance bool
 
@@ -117,7 +120,7 @@
 	w := &world{
 		folder: folder, out: out, begin: time.Now(), hash: "steady", slots: 3, work: 22 * time.Millisecond,
 		clients: make(map[int]*client), requests: make(map[string]string), runs: make(map[string]int), counts: make(map[string]int),
-		trouble: os.Getenv("TROUBLE") != "0",
+		trouble: os.Getenv("TROUBLE") != "0", control: os.Getenv("CONTROL") == "1",
 	}
 	w.router = newRouter(w)
 
