Keep open flows when an agent is stopped twice in a row

Callers saw: an agent that is stopped, started and stopped again within a second loses its flows. Clients that use one get a reset of the fleet's own, although the backend server lives and holds the flow.

Cause: an agent that stopped in the state "starting" announced that it was gone. The state covers a backend server that fell silent, and an agent that has not received a report since its own start. The second knows nothing, and said that nothing was left. Entry instances dropped the agent, searched for its flows, and every other agent denied them.

Ruled out: silence of the agent as the cause. It counts after 1.6 s only, and the resets come within milliseconds.

Why this works: "gone" now needs an end that was announced, or three missed reports. An agent that has run for less than three report intervals cannot have missed them.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -151,6 +151,21 @@
 	return Changed
 }
 
+// BackendLost reports whether the backend server has ended, as far as the gate can
+// know: it has announced its end, or missed maxMissedReports reports. A gate that has
+// just started may not have received the next report of a running backend server yet.
+func (g *Gate) BackendLost(now time.Time) bool {
+	switch g.backend.state {
+	case ended, silent:
+		return true
+	case unreported:
+		return now.Sub(g.config.Boot) > maxMissedReports*g.config.ReportInterval
+	case serving, leaving:
+	}
+
+	return false
+}
+
 // expire marks a serving backend server as silent if its last report is older than
 // the timeout. A later report of the same start makes it serve again.
 func (b *backend) expire(now time.Time, timeout time.Duration) bool {
--- a/internal/program/sidecar/checkpointer_test.go
+++ b/internal/program/sidecar/checkpointer_test.go
@@ -16,6 +16,7 @@
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/checkpoint"
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
 	"jayspindle/internal/transport/frag"
 	"jayspindle/internal/transport/socket"
 )
@@ -45,24 +46,29 @@
 }
 
 // fakeController is a controller that holds a checkpoint of the agent, and records
-// the kinds of the messages that it receives. It ignores the first three restore
+// the kinds of the messages that it receives and the states that the agent announces. It ignores the first three restore
 // requests, like a controller that is still reading its disk.
 type fakeController struct {
 	conn   *frag.Conn
 	stored checkpoint.Batch
 
-	mutex sync.Mutex
-	kinds []wire.Kind
+	mutex  sync.Mutex
+	kinds  []wire.Kind
+	states []roster.State
 }
 
 func (c *fakeController) handle(from netip.AddrPort, message []byte) {
-	kind, _, _ := wire.Split(message)
+	kind, body, _ := wire.Split(message)
 
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
 	c.kinds = append(c.kinds, kind)
 
+	if poll, err := wire.Decode[wire.Poll](body); kind == wire.KindPoll && err == nil && poll.Agent != nil {
+		c.states = append(c.states, poll.Agent.State)
+	}
+
 	restoreRequests := 0
 	for _, earlier := range c.kinds {
 		if earlier == wire.KindRestore {
@@ -83,6 +89,18 @@
 	return slices.Index(c.kinds, kind)
 }
 
+// announced returns the last state that the agent has announced, or 0.
+func (c *fakeController) announced() roster.State {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if len(c.states) == 0 {
+		return 0
+	}
+
+	return c.states[len(c.states)-1]
+}
+
 // fixture is a running agent with one checkpointed flow, and the client of that flow.
 type fixture struct {
 	*testing.T
@@ -173,6 +191,17 @@
 	}
 }
 
+// awaitAnnounced waits until the agent has announced a state.
+func (f *fixture) awaitAnnounced(want roster.State) {
+	f.Helper()
+
+	for deadline := time.Now().Add(timeout); f.fake.announced() != want; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.Fatalf("the agent announced the state %q, want %q", f.fake.announced(), want)
+		}
+	}
+}
+
 // TestRecall guards against clients that get no reset for flows that were lost
 // with the instance, and against a new checkpoint that overwrites the stored one
 // before it was restored.
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -132,10 +132,10 @@
 
 	record := s.gate.Record(now)
 
-	// An agent that stops without a running backend server does not come back, so
-	// entry instances need not wait for its replies. With one it is only being
-	// restarted.
-	if s.stopping && (record.State == roster.Ended || record.State == roster.Starting) {
+	// An agent that stops after its backend server does not come back, so entry
+	// instances need not wait for its replies. With a running one it is only being
+	// restarted, and its flows stay open.
+	if s.stopping && s.gate.BackendLost(now) {
 		record.State = roster.Gone
 	}
 
@@ -240,6 +240,7 @@
 	s.deliver(s.gate.ReleaseQueued(time.Now()))
 	s.mutex.Unlock()
 	s.follower.SendFinalPoll()
+	s.logger.Info("announced the stop", "state", s.announce(time.Now()).State.String())
 
 	closeErr := s.close()
 
