Let an agent deny flows only of backend servers that are younger than itself

Callers saw: a backend server that counts its reports from 0 starts, its agent is restarted before the second report, and flows from before the restart are reset at their next request, although the backend server holds them.

Cause: a gate whose first report had the number 0 or 1 claimed to have seen every flow of that start. 1 is the second report where the count begins at 0. Two more ways to the same claim: any start that followed another report, which may have been a delayed one of an ended start, and a tolerance of 300 ms between the starts, within which an agent can have been restarted.

The line "the backend server changed" now has the ages of both and whether all flows were seen. Tests that failed before the change:

TestKnows/second_report,_older_than_the_agent: 2 != 3 TestKnows/first_report,_older_than_the_agent: 2 != 3 TestKnows/clock_set_back_since_the_start: 2 != 3 TestRestartBeforeSecondReport: 2 != 3 TestLateReportAfterRestart: 2 != 3

Ruled out: the limit by number alone.

Why this works: the claim needs a proof that the backend server is younger than the agent, so that no earlier agent can have served it.

TestKnows was wrong in two rows: "first report" took a start one hour before the agent, with the number 1, for known; "same start" was known without a proof. TestFleet of inspect and TestReplaced used starts in 1970 and in the future; they use true ones now.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -98,7 +98,7 @@
 	}
 
 	if b.state == unreported || report.StartMillis > b.startMillis {
-		b.seenFromStart = b.state != unreported || g.sawStart(now, report)
+		b.seenFromStart = g.sawStart(now, report)
 		g.health = health{}
 	}
 
@@ -120,20 +120,35 @@
 	return Unchanged, nil
 }
 
-// sawStart reports whether the gate has seen every flow of the backend server:
-// the report is the first one, or the backend server started at the same time as
-// the gate. Its age is computed from the wall clock, which may be wrong, so it
-// counts only while the backend server is still cold.
+// SeenFromStart reports whether the gate has seen every flow of the current start of the
+// backend server.
+func (g *Gate) SeenFromStart() bool { return g.backend.seenFromStart }
+
+// sawStart reports whether the gate has seen every flow of the start that is reported:
+// the backend server started after the gate. There are two proofs.
+//
+// Sequence numbers begin at 0 or later and increase with each call, and at most
+// maxReportGap passes between two calls. So the number limits the age, whatever the
+// clocks say.
+//
+// Where the gate is younger than that limit, the start time has to show it. The wall
+// clock may have been set back in between, so this counts only for the first calls, or
+// while the backend server is still cold.
 func (g *Gate) sawStart(now time.Time, report Report) bool {
-	if report.Sequence <= 1 {
+	uptime := now.Sub(g.config.Boot)
+	if report.Sequence < uint64(max(0, uptime)/g.maxReportGap()) {
 		return true
 	}
 
 	age := now.Sub(time.UnixMilli(report.StartMillis))
 
-	return report.WarmUpRemaining > 0 && age <= now.Sub(g.config.Boot)+startTolerance
+	return (report.Sequence <= 1 || report.WarmUpRemaining > 0) && age >= -startTolerance && age <= uptime+startTolerance
 }
 
+// maxReportGap is the longest time between two calls of a running backend server: it
+// reports at an interval that varies, and retries a failed report.
+func (g *Gate) maxReportGap() time.Duration { return g.config.ReportInterval * 3 / 2 }
+
 // MarkEnded records that the backend server has ended. A startMillis of 0 means
 // that its start is not known.
 func (g *Gate) MarkEnded(id string, startMillis int64) Outcome {
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -63,9 +63,10 @@
 	maxMissedReports = 3
 
 	// startTolerance is how much earlier than the gate a backend server may have
-	// started and still count as started together with it. The restart of a
-	// gate takes longer, so no earlier gate can have served this backend server.
-	startTolerance = 300 * time.Millisecond
+	// started and still count as started together with it. An agent that starts at the
+	// same time needs some 30 ms to run; one that is restarted cannot have served the
+	// backend server, ended and started again within the tolerance.
+	startTolerance = 100 * time.Millisecond
 
 	// learningWindow is how long after the start of a gate its backend server may
 	// hold flows that the gate has not seen: the longest lifetime of a flow in
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -309,28 +309,47 @@
 	b.fromBackend(returned, gate.Return)
 }
 
-// TestKnows guards against needlessly inconclusive searches: an agent that has
-// seen its backend server start knows all of its flows.
+// TestKnows guards against needlessly inconclusive searches: an agent that is older than
+// its backend server knows all of its flows. It also guards against the denial of flows
+// that an earlier start of the agent has passed on.
 func TestKnows(t *testing.T) {
-	cold := func(born time.Time, sequence uint64) gate.Report {
-		r := report(born, sequence)
-		r.WarmUpRemaining = time.Second
-
-		return r
-	}
+	const (
+		yes = flow.Absent
+		no  = flow.Unsure
+	)
 
 	for name, test := range map[string]struct {
-		report gate.Report
-		want   flow.Answer
+		uptime   time.Duration // of the agent
+		age      time.Duration // of the backend server, by the wall clock
+		sequence uint64
+		warmUp   time.Duration
+		want     flow.Answer
 	}{
-		"first report":         {report(start.Add(-time.Hour), 1), flow.Absent},
-		"same start":           {cold(start, 3), flow.Absent},
-		"older and still cold": {cold(start.Add(-time.Second), 3), flow.Unsure},
-		"wrong clock":          {report(start.Add(time.Hour), 30), flow.Unsure},
+		"started with the agent, counts from 0":       {100 * time.Millisecond, 90 * time.Millisecond, 0, 0, yes},
+		"started with the agent, counts from 1":       {100 * time.Millisecond, 90 * time.Millisecond, 1, 0, yes},
+		"started just before the agent":               {100 * time.Millisecond, 130 * time.Millisecond, 1, 0, yes},
+		"first report, older than the agent":          {100 * time.Millisecond, 800 * time.Millisecond, 0, 0, no},
+		"second report, older than the agent":         {100 * time.Millisecond, 800 * time.Millisecond, 1, 0, no},
+		"first reports to the agent were lost":        {9 * reportInterval, 5 * reportInterval, 5, 0, yes},
+		"older than the agent":                        {5 * reportInterval, 7 * reportInterval, 7, 0, no},
+		"reported long before the agent started":      {5 * reportInterval, time.Hour, 5000, 0, no},
+		"clock ahead, but called once at most":        {5 * reportInterval, time.Hour, 1, 0, yes},
+		"clock behind, but called once at most":       {5 * reportInterval, -time.Hour, 1, 0, yes},
+		"clock set back since the start":              {100 * time.Millisecond, -2 * time.Second, 1, 0, no},
+		"clock set back to the start of the agent":    {100 * time.Millisecond, 50 * time.Millisecond, 3, 0, no},
+		"high sequence number":                        {50 * time.Second, time.Hour, 1 << 40, 0, no},
+		"clock ahead, and the agent has just started": {100 * time.Millisecond, time.Hour, 1, 0, no},
+		"started with the agent, called it in vain":   {100 * time.Millisecond, 130 * time.Millisecond, 3, time.Second, yes},
+		"still cold, older than the agent":            {100 * time.Millisecond, 400 * time.Millisecond, 1, time.Second, no},
+		"still cold, clock set back since the start":  {100 * time.Millisecond, -2 * time.Second, 1, time.Second, no},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackendFixture(t)
-			b.report(test.report)
+			b.now = start.Add(test.uptime)
+
+			first := report(b.now.Add(-test.age), test.sequence)
+			first.WarmUpRemaining = test.warmUp
+			b.report(first)
 			b.is.Equal(b.gate.Locate(b.now, key), test.want)
 		})
 	}
@@ -341,6 +360,36 @@
 	})
 }
 
+// TestRestartBeforeSecondReport guards against the reset of open flows of a backend
+// server that counts its reports from 0: a restarted agent took the second report for
+// the first one, so it denied the flows from before its restart.
+func TestRestartBeforeSecondReport(t *testing.T) {
+	b := newBackendFixture(t)
+	b.report(report(start, 0))
+	b.openFlow()
+
+	born := start
+	b.gate = gate.New(gate.Config{
+		Service: "desk", Boot: start.Add(reportInterval / 2), ReportInterval: reportInterval,
+	}, func(time.Duration) {})
+	b.now = start.Add(reportInterval)
+	b.report(report(born, 1))
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+	b.fromClient(requestHeader, gate.Deliver)
+	b.is.True(b.fromBackend(answerHeader, gate.ToClient).Found)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+}
+
+// TestLateReportAfterRestart guards against the denial of flows by a restarted agent that
+// gets a delayed report of an ended backend server before the one of its successor.
+func TestLateReportAfterRestart(t *testing.T) {
+	b := newBackendFixture(t)
+	b.now = start.Add(100 * time.Millisecond)
+	b.report(report(start.Add(-time.Minute), 70))
+	b.report(report(start.Add(-reportInterval/2), 1))
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+}
+
 // TestReplaced guards against packets of a flow that reach the successor of its
 // backend server at the same address, and against clients that are not told at
 // once that their flow is lost.
@@ -349,7 +398,8 @@
 	b.report(report(start, 1))
 	b.openFlow()
 
-	b.report(report(start.Add(time.Second), 1))
+	b.now = start.Add(time.Second)
+	b.report(report(b.now, 1))
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 
 	orphans := b.gate.Orphans()
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -55,15 +55,14 @@
 }
 
 // mayHoldUnseenFlows reports whether the backend server may hold flows that the
-// gate has not seen. If there was no report within one and a half intervals after
-// the gate started, there is no backend server: it would have retried a failed
-// report by then.
+// gate has not seen. If there was no report within maxReportGap after the gate started,
+// there is no backend server.
 func (g *Gate) mayHoldUnseenFlows(now time.Time) bool {
 	uptime := now.Sub(g.config.Boot)
 
 	switch g.backend.state {
 	case unreported:
-		return uptime < g.config.ReportInterval*3/2
+		return uptime < g.maxReportGap()
 	case ended:
 		return false
 	default:
--- a/internal/program/inspect/inspect_test.go
+++ b/internal/program/inspect/inspect_test.go
@@ -119,7 +119,7 @@
 	is.NoErr(err)
 	run(t, s)
 
-	_, err = s.Report(gate.Report{ID: "a", Service: "desk", StartMillis: 1000, Sequence: 1, Slots: 2})
+	_, err = s.Report(gate.Report{ID: "a", Service: "desk", StartMillis: time.Now().UnixMilli(), Sequence: 1, Slots: 2})
 	is.NoErr(err)
 }
 
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -93,6 +93,7 @@
 	checkpointer *checkpointer
 	answerTimes  *latency.Histogram // time to the first packet of an answer
 
+	started   time.Time
 	malformed atomic.Uint64 // datagrams that could not be decoded
 
 	mutex    sync.Mutex // guards everything below
@@ -107,14 +108,14 @@
 func New(settings Settings, codec flow.Codec, logger *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{
 		settings: settings, codec: codec, logger: logger, answerTimes: latency.New(),
-		notified: make(map[flow.Key]bool),
+		notified: make(map[flow.Key]bool), started: time.Now(),
 	}
 	if err := s.listen(); err != nil {
 		return nil, errors.Join(newError("listen", KindListen, err), s.close())
 	}
 
 	s.gate = gate.New(gate.Config{
-		Service: settings.Service, Boot: time.Now(), ReportInterval: settings.ReportInterval,
+		Service: settings.Service, Boot: s.started, ReportInterval: settings.ReportInterval,
 	}, s.answerTimes.Observe)
 	s.follower = follower.New(follower.Config{
 		Conn: s.control, BootID: rand.Uint64(), Seeds: settings.Seeds, Events: events{s}, Announce: s.announce,
@@ -149,7 +150,9 @@
 // backend server that is leaving gets no new flows.
 func (s *Sidecar) Report(report gate.Report) (gate.Outcome, error) {
 	s.mutex.Lock()
-	outcome, err := s.gate.Report(time.Now(), report)
+	now := time.Now()
+	outcome, err := s.gate.Report(now, report)
+	complete := s.gate.SeenFromStart()
 
 	if outcome == gate.Changed {
 		s.resetOrphans(s.gate.Orphans())
@@ -165,7 +168,8 @@
 		s.logger.Info("ignored a late report", "id", report.ID, "born", report.StartMillis, "sequence", report.Sequence)
 	case outcome == gate.Changed:
 		s.logger.Info("the backend server changed", "id", report.ID, "born", report.StartMillis, "sequence", report.Sequence,
-			"leaving", report.Leaving, "slots", report.Slots, "cold_ms", report.WarmUpRemaining.Milliseconds())
+			"leaving", report.Leaving, "slots", report.Slots, "cold_ms", report.WarmUpRemaining.Milliseconds(),
+			"age_ms", now.UnixMilli()-report.StartMillis, "agent_age_ms", now.Sub(s.started).Milliseconds(), "all_flows_seen", complete)
 		s.follower.Poll()
 	}
 
