Refuse reports of backend servers with values that cannot be true

Operators of similar systems saw: one odd entry of another writer among those of the backend servers, and the machines that read it stopped following the list. Here, one report with the number 2^64-1, or with a start in the year 9999, was taken, and all proper reports after it were ignored as outdated, for good: the agent published that its backend server takes no flows.

Cause: an agent keeps the report with the highest start and number, and checked only the sign of the start.

Ruled out: a process that ends. No odd report ended the agent; deep nesting, wrong types and numbers out of range were refused before.

Why this works: each bound excludes what has no explanation (a start further ahead than a hardware clock in local time, a number that takes 34 years to reach). A refusal names field, value and what is allowed, changes nothing, is counted, and is logged once a second at most.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"jayspindle/internal/state/failure"
@@ -14,7 +15,7 @@
 // The kinds of errors of this package.
 const (
 	KindWrongService ErrorKind = "foreign" // the report is of another service
-	KindInvalid      ErrorKind = "invalid" // the report contradicts itself
+	KindInvalid      ErrorKind = "invalid" // the report has a value that cannot be true
 )
 
 // Error is the error type of this package.
@@ -67,15 +68,56 @@
 	seenFromStart bool // the gate has seen every flow since this start
 }
 
-// Report applies a status report of the backend server.
-func (g *Gate) Report(now time.Time, report Report) (Outcome, error) {
-	if report.Service != g.config.Service {
-		return 0, newError("report", KindWrongService,
-			fmt.Errorf("found service %q, this agent serves %q", report.Service, g.config.Service))
+// The bounds of what a report can truthfully say. They only exclude what has no
+// explanation: a wrong value within them is outlived by later reports.
+const (
+	// maxClockError is how far in the future a start may be. The largest common error
+	// is a hardware clock that keeps local time, up to 14 hours ahead of UTC.
+	maxClockError = 14 * time.Hour
+
+	// maxSequence is reached after 34 years by a backend server that reports every
+	// millisecond.
+	maxSequence = 1 << 40
+
+	// maxWarmUp is far above the warm-up of backend servers, which takes seconds.
+	maxWarmUp = time.Hour
+
+	// maxIDBytes is an order of magnitude above the longest ID in use.
+	maxIDBytes = 256
+)
+
+// check refuses a report that cannot be true. It may come from another writer, so it
+// must not replace what the backend server has reported.
+func (g *Gate) check(now time.Time, report Report) error {
+	refuse := func(kind ErrorKind, field string, value any, allowed string) error {
+		return newError("report", kind, fmt.Errorf("%s: found %v, allowed: %s", field, value, allowed))
 	}
 
-	if report.Slots == 0 || report.StartMillis <= 0 {
-		return 0, newError("report", KindInvalid, fmt.Errorf("found %d slots and start %d", report.Slots, report.StartMillis))
+	latest := now.Add(maxClockError)
+
+	switch {
+	case report.Service != g.config.Service:
+		return refuse(KindWrongService, "service", strconv.Quote(report.Service), strconv.Quote(g.config.Service))
+	case report.ID == "" || len(report.ID) > maxIDBytes:
+		return refuse(KindInvalid, "id", fmt.Sprintf("%d bytes", len(report.ID)), fmt.Sprintf("1 to %d bytes", maxIDBytes))
+	case report.Slots == 0:
+		return refuse(KindInvalid, "slots", report.Slots, "1 or more")
+	case report.StartMillis <= 0 || report.StartMillis > latest.UnixMilli():
+		return refuse(KindInvalid, "start", report.StartMillis, fmt.Sprintf("1 to %d ms", latest.UnixMilli()))
+	case report.Sequence > maxSequence:
+		return refuse(KindInvalid, "sequence", report.Sequence, fmt.Sprintf("0 to %d", uint64(maxSequence)))
+	case report.WarmUpRemaining < 0 || report.WarmUpRemaining > maxWarmUp:
+		return refuse(KindInvalid, "warm-up", report.WarmUpRemaining, fmt.Sprintf("0 to %v", maxWarmUp))
+	}
+
+	return nil
+}
+
+// Report applies a status report of the backend server. It refuses a report that cannot
+// be true with an error, which changes nothing.
+func (g *Gate) Report(now time.Time, report Report) (Outcome, error) {
+	if err := g.check(now, report); err != nil {
+		return 0, err
 	}
 
 	b := &g.backend
@@ -120,6 +162,12 @@
 	return Unchanged, nil
 }
 
+// Reported returns what the gate believes about the backend server: the ID, the start
+// and the sequence number of the last report that it applied.
+func (g *Gate) Reported() (id string, startMillis int64, sequence uint64) {
+	return g.backend.id, g.backend.startMillis, g.backend.sequence
+}
+
 // SeenFromStart reports whether the gate has seen every flow of the current start of the
 // backend server.
 func (g *Gate) SeenFromStart() bool { return g.backend.seenFromStart }
@@ -151,19 +199,23 @@
 
 // MarkEnded records that the backend server has ended. A startMillis of 0 means
 // that its start is not known.
-func (g *Gate) MarkEnded(id string, startMillis int64) Outcome {
+func (g *Gate) MarkEnded(now time.Time, id string, startMillis int64) (Outcome, error) {
+	if latest := now.Add(maxClockError).UnixMilli(); startMillis < 0 || startMillis > latest {
+		return 0, newError("end", KindInvalid, fmt.Errorf("start: found %d, allowed: 0 to %d ms", startMillis, latest))
+	}
+
 	b := &g.backend
 	if (id != b.id && b.state != unreported) || (startMillis != 0 && startMillis < b.startMillis) {
-		return Outdated
+		return Outdated, nil
 	}
 
 	if b.state == ended {
-		return Unchanged
+		return Unchanged, nil
 	}
 
 	b.state = ended
 
-	return Changed
+	return Changed, nil
 }
 
 // BackendLost reports whether the backend server has ended, as far as the gate can
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -67,6 +67,15 @@
 	return outcome
 }
 
+func (b *backendFixture) markEnded(id string, startMillis int64) gate.Outcome {
+	b.Helper()
+
+	outcome, err := b.gate.MarkEnded(b.now, id, startMillis)
+	b.is.NoErr(err)
+
+	return outcome
+}
+
 // fromClient passes a packet from the client and checks the kind of the decision.
 func (b *backendFixture) fromClient(header flow.Header, want gate.Kind) gate.Decision {
 	b.Helper()
@@ -165,7 +174,7 @@
 	t.Run("ended", func(t *testing.T) {
 		b := newBackendFixture(t)
 		b.report(report(start, 1))
-		b.gate.MarkEnded("a", 0)
+		b.markEnded("a", 0)
 		b.checkRefused(gate.ReasonEnded)
 	})
 
@@ -214,8 +223,8 @@
 	b.is.Equal(b.report(report(later, 5)), gate.Unchanged)
 	b.is.Equal(b.report(report(later, 5)), gate.Outdated)
 	b.is.Equal(b.report(report(start, 99)), gate.Outdated) // of the previous start
-	b.is.Equal(b.gate.MarkEnded("a", start.UnixMilli()), gate.Outdated)
-	b.is.Equal(b.gate.MarkEnded("other", 0), gate.Outdated)
+	b.is.Equal(b.markEnded("a", start.UnixMilli()), gate.Outdated)
+	b.is.Equal(b.markEnded("other", 0), gate.Outdated)
 
 	// Sequence numbers restart with each start.
 	b.is.Equal(b.report(report(later.Add(time.Second), 1)), gate.Changed)
@@ -390,6 +399,17 @@
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 }
 
+// openOldFlow opens the flow, which the backend server has held for longer than a report
+// can be delayed when it reports again. It leaves the time of that report.
+func (b *backendFixture) openOldFlow() {
+	b.Helper()
+	b.report(report(start, 1))
+	b.openFlow()
+
+	b.now = start.Add(2 * time.Second)
+	b.report(report(start, 3))
+}
+
 // TestReplaced guards against packets of a flow that reach the successor of its
 // backend server at the same address, and against clients that are not told at
 // once that their flow is lost.
--- a/internal/program/sidecar/checkpointer_test.go
+++ b/internal/program/sidecar/checkpointer_test.go
@@ -226,7 +226,7 @@
 			f := newFixture(t, 2000)
 			f.report()
 			f.awaitCheckpoint()
-			f.agent.BackendEnded("a", 2000)
+			f.is.NoErr(f.agent.BackendEnded("a", 2000))
 			f.is.Equal(len(f.received), 0) // the backend server may still send
 			end(f)
 		})
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -25,6 +25,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayspindle/internal/coordination/gate"
 	"jayspindle/internal/program/follower"
 	"jayspindle/internal/program/group"
@@ -48,6 +50,10 @@
 	// for a second.
 	endedGracePeriod = 1200 * time.Millisecond
 
+	// refusedLogInterval is the time between two log lines about refused reports. Their
+	// writer may send them without a pause.
+	refusedLogInterval = time.Second
+
 	// slowSlotWait is the wait for a slot from which a request is logged. Added to
 	// the service time, it makes a client miss the shortest latency target in use,
 	// 120 ms.
@@ -95,6 +101,9 @@
 
 	started   time.Time
 	malformed atomic.Uint64 // datagrams that could not be decoded
+	refused   atomic.Uint64 // reports that were refused
+
+	refusedLog rate.Sometimes
 
 	mutex    sync.Mutex // guards everything below
 	gate     *gate.Gate
@@ -109,6 +118,7 @@
 	s := &Sidecar{
 		settings: settings, codec: codec, logger: logger, answerTimes: latency.New(),
 		notified: make(map[flow.Key]bool), started: time.Now(),
+		refusedLog: rate.Sometimes{Interval: refusedLogInterval},
 	}
 	if err := s.listen(); err != nil {
 		return nil, errors.Join(newError("listen", KindListen, err), s.close())
@@ -163,7 +173,7 @@
 
 	switch {
 	case err != nil:
-		s.logger.Warn("refused a report", "id", report.ID, "error", err)
+		s.RefuseReport(report.ID, err)
 	case outcome == gate.Outdated:
 		s.logger.Info("ignored a late report", "id", report.ID, "born", report.StartMillis, "sequence", report.Sequence)
 	case outcome == gate.Changed:
@@ -176,22 +186,41 @@
 	return outcome, err
 }
 
+// RefuseReport counts and logs a report or deregistration that was refused. Reports that
+// cannot be read do not reach Report.
+func (s *Sidecar) RefuseReport(id string, err error) {
+	s.refused.Add(1)
+	s.refusedLog.Do(func() {
+		s.logger.Warn("refused a report", "id", id, "error", err, "refused", s.refused.Load())
+	})
+}
+
 // BackendEnded records that the backend server has ended.
-func (s *Sidecar) BackendEnded(id string, startMillis int64) {
+func (s *Sidecar) BackendEnded(id string, startMillis int64) error {
 	s.mutex.Lock()
 
-	outcome := s.gate.MarkEnded(id, startMillis)
+	now := time.Now()
+
+	outcome, err := s.gate.MarkEnded(now, id, startMillis)
 	if outcome == gate.Changed {
-		s.endedAt = time.Now()
+		s.endedAt = now
 	}
 
 	s.mutex.Unlock()
 
+	if err != nil {
+		s.RefuseReport(id, err)
+
+		return err
+	}
+
 	s.logger.Info("the backend server announced its end", "id", id, "born", startMillis, "late", outcome == gate.Outdated)
 
 	if outcome == gate.Changed {
 		s.follower.Poll()
 	}
+
+	return nil
 }
 
 // resetOrphans sends a reset to the clients whose backend server has ended. The
--- a/internal/program/sidecar/stop_test.go
+++ b/internal/program/sidecar/stop_test.go
@@ -46,7 +46,7 @@
 	f := newFixture(t, 2000)
 	f.report()
 	f.awaitAnnounced(roster.Ready)
-	f.agent.BackendEnded("a", 2000)
+	f.is.NoErr(f.agent.BackendEnded("a", 2000))
 	f.stop()
 	f.awaitReceived()
 	f.is.Equal(f.fake.announced(), roster.Gone)
