Keep flows that a backend server has accepted before its first report

Callers saw: a backend server crashes, is back after 0.2 s and accepts flows. Its first report, an interval later, resets all of them.

Cause: a gate recorded each flow under the start that it knew. Until the first report that was the crashed one, so the report made the flows of the new start orphans.

Tests that failed before:

TestFlowBeforeFirstReport/is_kept: 1 != 0 TestFlowBeforeFirstReport/is_reset_if_it_was_of_the_crashed_one: 5 != 2 TestFlowBeforeFirstReport/is_not_stored_as_one_of_the_crashed_one: 1 != 0

Ruled out: asking the backend server's start time. Its clock and the agent's may differ, and one that is wrong would reset flows again.

Why this works: only flows that were open a second before the last report of the earlier start are lost with certainty. The backend server itself decides about the others: it returns the next packet of a flow that it does not hold, which resets the flow at once.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -68,6 +68,10 @@
 	seenFromStart bool // the gate has seen every flow since this start
 }
 
+// maxReportDelay is how old a report can be when it arrives: the backend server waits a
+// second for the answer.
+const maxReportDelay = time.Second
+
 // The bounds of what a report can truthfully say. They only exclude what has no
 // explanation: a wrong value within them is outlived by later reports.
 const (
@@ -123,43 +127,56 @@
 	b := &g.backend
 
 	switch {
-	case b.state != unreported && report.StartMillis < b.startMillis:
-		return Outdated, nil
-	case b.state != unreported && report.StartMillis == b.startMillis && report.Sequence <= b.sequence:
+	case b.state == unreported || report.StartMillis > b.startMillis:
+		g.beginStart(now, report)
+
+		return Changed, nil
+	case report.StartMillis < b.startMillis, report.Sequence <= b.sequence:
 		return Outdated, nil
+	default:
+		return g.refresh(now, report), nil
 	}
+}
 
-	previous := *b
+// beginStart makes the reported start the current one. The flows of the one before are
+// lost, but the report comes later than the start: it takes up to an interval, and the
+// new start may have accepted flows by then. So only those flows are lost that the
+// earlier start has certainly accepted. The others are left to their next packet: the
+// backend server returns it if it does not hold the flow.
+func (g *Gate) beginStart(now time.Time, report Report) {
+	b := &g.backend
+	lastAlive := b.lastReport.Add(-maxReportDelay)
 
-	// Flows that were seen before the first report belong to the backend server
-	// that now reports for the first time.
-	if b.startMillis == 0 {
-		for _, h := range g.flows {
-			h.backendStart = report.StartMillis
+	for _, h := range g.flows {
+		if b.state != ended && !h.addedAt.Before(lastAlive) {
+			h.backendStart = 0
 		}
 	}
 
-	if b.state == unreported || report.StartMillis > b.startMillis {
-		b.seenFromStart = g.sawStart(now, report)
-		g.health = health{}
-	}
+	*b = backend{startMillis: report.StartMillis, seenFromStart: g.sawStart(now, report)}
+	g.health = health{}
+	g.refresh(now, report)
+}
+
+// refresh applies a report of the current start.
+func (g *Gate) refresh(now time.Time, report Report) Outcome {
+	b := &g.backend
+	previous := *b
 
-	b.id, b.startMillis, b.sequence, b.slots, b.lastReport =
-		report.ID, report.StartMillis, report.Sequence, report.Slots, now
+	b.id, b.sequence, b.slots, b.lastReport = report.ID, report.Sequence, report.Slots, now
 	b.coldUntil = now.Add(report.WarmUpRemaining)
 	b.state = serving
 
-	// Leaving is final for a start of the backend server: it serves again only
-	// after a restart.
-	if report.Leaving || (previous.state == leaving && previous.startMillis == b.startMillis) {
+	// Leaving is final for a start of the backend server.
+	if report.Leaving || previous.state == leaving {
 		b.state = leaving
 	}
 
-	if b.state != previous.state || b.startMillis != previous.startMillis || b.slots != previous.slots {
-		return Changed, nil
+	if b.state != previous.state || b.slots != previous.slots {
+		return Changed
 	}
 
-	return Unchanged, nil
+	return Unchanged
 }
 
 // Reported returns what the gate believes about the backend server: the ID, the start
--- a/internal/coordination/gate/checkpoint.go
+++ b/internal/coordination/gate/checkpoint.go
@@ -22,8 +22,10 @@
 	}
 
 	for key, h := range g.flows {
+		// A flow that is younger than the last report may be of a start that has not
+		// reported yet.
 		if h.state == open && h.confirmed && h.backendStart == g.backend.startMillis && !h.closedBy[0] && !h.closedBy[1] &&
-			now.Sub(h.addedAt) >= minCheckpointAge {
+			now.Sub(h.addedAt) >= minCheckpointAge && h.addedAt.Before(g.backend.lastReport) {
 			flows[key] = h.acked
 		}
 	}
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -189,7 +189,7 @@
 
 	// Packets of a flow whose backend server has ended must not reach its
 	// successor at the same address.
-	if h != nil && (h.backendStart != g.backend.startMillis || g.backend.state == ended) && h.state != unverified {
+	if h != nil && g.isLost(h) {
 		g.removeFlow(key, h)
 
 		if !header.Opens() {
--- a/internal/coordination/gate/held.go
+++ b/internal/coordination/gate/held.go
@@ -17,8 +17,8 @@
 // trackedFlow is a flow that the gate tracks for the backend server.
 type trackedFlow struct {
 	state        flowState
-	confirmed    bool // not an unused duplicate at a second backend server, which sends only its accept
-	backendStart int64
+	confirmed    bool  // not an unused duplicate at a second backend server, which sends only its accept
+	backendStart int64 // start of the backend server that holds it; 0 if not known
 	forwarder    flow.Endpoint
 	addedAt      time.Time
 	lastPacket   time.Time
@@ -34,6 +34,18 @@
 	closedBy     [2]bool   // indexed by side: 0 is the client, 1 the backend server
 }
 
+// isLost reports whether the backend server that held a flow has ended.
+func (g *Gate) isLost(h *trackedFlow) bool {
+	switch {
+	case h.state == unverified:
+		return false
+	case g.backend.state == ended:
+		return true
+	default:
+		return h.backendStart != 0 && h.backendStart != g.backend.startMillis
+	}
+}
+
 // hasNewData reports whether a packet has data that the client has not sent before.
 // A retransmission is not a new request.
 func (h *trackedFlow) hasNewData(header flow.Header) bool {
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -19,7 +19,7 @@
 	var orphans []Orphan
 
 	for key, h := range g.flows {
-		if (h.backendStart == g.backend.startMillis && g.backend.state != ended) || h.state == unverified {
+		if !g.isLost(h) {
 			continue
 		}
 
@@ -41,7 +41,7 @@
 	h := g.flows[key]
 
 	switch {
-	case h != nil && h.state == open && h.backendStart == g.backend.startMillis && g.backend.state != ended:
+	case h != nil && h.state == open && !g.isLost(h):
 		return flow.Held
 	case h != nil && h.state == opening:
 		return flow.Unsure
