Let a wrong report give way to a backend server that keeps reporting

A single report of a later start also reset the flows of one that lives.

Cause: a register in which the highest value wins, fed by a clock and bytes that may be wrong, with nothing that lets a lower value back in.

Ruled out: taking any lower value at once. A delayed report of an ended start would bring it back; TestLateReport holds that.

Why this works: package newest counts outdated reports. Three in a row, over an interval, without one of the current start, can only come from a backend server that runs; delayed ones are few or arrive together. Flows of a replaced start are reset only once it has missed a report, or when the backend server returns their packets.

TestRecover expected that a checkpoint of a start which has not reported yet is dropped. It is kept now until it is certain which start runs, and its flows are held then; a new row covers a clock that was ahead.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -65,7 +65,18 @@
 	slots         uint16
 	coldUntil     time.Time
 	lastReport    time.Time
+	reports       int  // of this start
 	seenFromStart bool // the gate has seen every flow since this start
+	replaced      replacedStart
+}
+
+// replacedStart is the start before the current one while it may still run. The report
+// that replaced it may have a wrong start time, so its flows are kept for the time being.
+type replacedStart struct {
+	startMillis   int64 // zero if there is none
+	lastReport    time.Time
+	seenFromStart bool
+	leaving       bool
 }
 
 // maxReportDelay is how old a report can be when it arrives: the backend server waits a
@@ -131,13 +142,53 @@
 		g.beginStart(now, report)
 
 		return Changed, nil
-	case report.StartMillis < b.startMillis, report.Sequence <= b.sequence:
-		return Outdated, nil
-	default:
+	case report.StartMillis == b.startMillis && report.Sequence > b.sequence && b.state != ended:
+		g.outdated.Reset()
+
 		return g.refresh(now, report), nil
+	default:
+		return g.handleOutdated(now, report), nil
 	}
 }
 
+// handleOutdated handles a report that is older than an earlier one, or of a start that has
+// announced its end. It is ignored until there are so many that the earlier report, or
+// the announcement, must have been wrong.
+func (g *Gate) handleOutdated(now time.Time, report Report) Outcome {
+	b := &g.backend
+	repeated := report.StartMillis == b.startMillis && report.Sequence == b.sequence
+
+	if report.StartMillis == b.replaced.startMillis {
+		b.replaced.lastReport = now
+	}
+
+	// Leaving is final, so the order of the reports that say so does not matter.
+	if report.StartMillis == b.startMillis && report.Leaving && (b.state == serving || b.state == silent) {
+		b.state = leaving
+
+		return Changed
+	}
+
+	if repeated || !g.outdated.Observe(now, report.StartMillis, report.Sequence) {
+		return Outdated
+	}
+
+	switch report.StartMillis {
+	case b.startMillis:
+		if b.state == ended {
+			b.state = silent
+		}
+
+		g.refresh(now, report)
+	case b.replaced.startMillis:
+		g.resumeStart(now, report)
+	default:
+		g.beginStart(now, report)
+	}
+
+	return Changed
+}
+
 // beginStart makes the reported start the current one. The flows of the one before are
 // lost, but the report comes later than the start: it takes up to an interval, and the
 // new start may have accepted flows by then. So only those flows are lost that the
@@ -147,15 +198,56 @@
 	b := &g.backend
 	lastAlive := b.lastReport.Add(-maxReportDelay)
 
+	// A single report of the earlier start may have been wrong.
+	certain := func(h *trackedFlow) bool { return b.state == ended || (b.reports > 1 && h.addedAt.Before(lastAlive)) }
+
 	for _, h := range g.flows {
-		if b.state != ended && !h.addedAt.Before(lastAlive) {
+		if h.backendStart != b.startMillis || !certain(h) {
 			h.backendStart = 0
 		}
 	}
 
-	*b = backend{startMillis: report.StartMillis, seenFromStart: g.sawStart(now, report)}
+	replaced := replacedStart{
+		startMillis: b.startMillis, lastReport: b.lastReport, seenFromStart: b.seenFromStart, leaving: b.state == leaving,
+	}
+	if b.state == ended {
+		replaced = replacedStart{}
+	}
+
+	*b = backend{startMillis: report.StartMillis, seenFromStart: g.sawStart(now, report), replaced: replaced}
 	g.health = health{}
 	g.refresh(now, report)
+	g.expireReplaced(now)
+	g.orphansDue = true
+}
+
+// resumeStart makes the replaced start the current one again, because it keeps reporting.
+// What was taken for flows of the other start is its own.
+func (g *Gate) resumeStart(now time.Time, report Report) {
+	b := &g.backend
+
+	for _, h := range g.flows {
+		if h.backendStart == b.startMillis {
+			h.backendStart = 0
+		}
+	}
+
+	resumed := backend{startMillis: report.StartMillis, seenFromStart: b.replaced.seenFromStart}
+	if b.replaced.leaving {
+		resumed.state = leaving
+	}
+
+	*b = resumed
+	g.refresh(now, report)
+}
+
+// expireReplaced gives up the flows of a replaced start once it has missed a report.
+func (g *Gate) expireReplaced(now time.Time) {
+	replaced := &g.backend.replaced
+	if replaced.startMillis != 0 && now.Sub(replaced.lastReport) > g.maxReportGap() {
+		*replaced = replacedStart{}
+		g.orphansDue = true
+	}
 }
 
 // refresh applies a report of the current start.
@@ -164,6 +256,7 @@
 	previous := *b
 
 	b.id, b.sequence, b.slots, b.lastReport = report.ID, report.Sequence, report.Slots, now
+	b.reports++
 	b.coldUntil = now.Add(report.WarmUpRemaining)
 	b.state = serving
 
@@ -222,7 +315,7 @@
 	}
 
 	b := &g.backend
-	if (id != b.id && b.state != unreported) || (startMillis != 0 && startMillis < b.startMillis) {
+	if b.state != unreported && (id != b.id || (startMillis != 0 && startMillis < b.startMillis)) {
 		return Outdated, nil
 	}
 
@@ -230,7 +323,10 @@
 		return Unchanged, nil
 	}
 
+	// A delayed report of this start must not make it serve again.
+	b.id, b.startMillis = id, max(b.startMillis, startMillis)
 	b.state = ended
+	g.orphansDue = true
 
 	return Changed, nil
 }
@@ -240,7 +336,9 @@
 // just started may not have received the next report of a running backend server yet.
 func (g *Gate) BackendLost(now time.Time) bool {
 	switch g.backend.state {
-	case ended, silent:
+	case ended:
+		return !g.mayHoldUnseenFlows(now)
+	case silent:
 		return true
 	case unreported:
 		return now.Sub(g.config.Boot) > maxMissedReports*g.config.ReportInterval
--- a/internal/coordination/gate/checkpoint.go
+++ b/internal/coordination/gate/checkpoint.go
@@ -36,17 +36,20 @@
 // RecoverFlows restores the flows of a checkpoint that an earlier start of the agent
 // wrote. Flows of an earlier start of the backend server are lost and returned as
 // orphans; those of its current start are tracked again. RecoverFlows returns false as
-// long as the backend server has not reported.
+// long as it is not certain which start runs.
 func (g *Gate) RecoverFlows(now time.Time, restored checkpoint.RestoredFlows) (orphans []Orphan, done bool) {
-	if g.backend.startMillis == 0 {
-		return nil, false
-	}
+	b := &g.backend
 
-	if restored.BackendStart > g.backend.startMillis {
-		return nil, true // the report is a delayed one of an earlier start
+	switch {
+	case b.startMillis == 0:
+		return nil, false
+	case b.replaced.startMillis != 0 && restored.BackendStart == b.replaced.startMillis:
+		return nil, false // it may still run
+	case restored.BackendStart > b.startMillis && b.reports < maxMissedReports && b.state != ended:
+		return nil, false // the reports may be delayed ones of an earlier start
 	}
 
-	lost := restored.BackendStart < g.backend.startMillis || g.backend.state == ended
+	lost := restored.BackendStart != b.startMillis || b.state == ended
 
 	for _, remembered := range restored.Flows {
 		switch {
--- a/internal/coordination/gate/checkpoint_test.go
+++ b/internal/coordination/gate/checkpoint_test.go
@@ -88,8 +88,25 @@
 		b := newBackendFixture(t)
 		b.report(report(start, 1))
 
+		born := start.Add(time.Minute)
+		orphans, done := b.gate.RecoverFlows(b.now, newMemory(born))
+		b.is.True(!done)
+		b.is.Equal(len(orphans), 0)
+
+		b.report(report(born, 70))
+		_, done = b.gate.RecoverFlows(b.now, newMemory(born))
+		b.is.True(done)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+	})
+
+	t.Run("the clock was ahead at the start that held the flow", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.report(report(start, 1))
+		b.report(report(start, 2))
+		b.report(report(start, 3))
+
 		orphans, done := b.gate.RecoverFlows(b.now, newMemory(start.Add(time.Minute)))
 		b.is.True(done)
-		b.is.Equal(len(orphans), 0)
+		b.is.Equal(len(orphans), 1)
 	})
 }
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -42,6 +42,7 @@
 	"time"
 
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/newest"
 	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
 )
@@ -136,10 +137,12 @@
 	config          Config
 	table           *route.Table
 	backend         backend
+	outdated        newest.Series[int64] // of reports, by their start
 	flows           map[flow.Key]*trackedFlow
-	openFlows       int // flows that are not closed
-	waitingFlows    int // flows whose client waits for an answer
-	runningRequests int // requests handed over and not answered yet
+	orphansDue      bool // a start of the backend server has ended since the last call of Orphans
+	openFlows       int  // flows that are not closed
+	waitingFlows    int  // flows whose client waits for an answer
+	runningRequests int  // requests handed over and not answered yet
 	reservations    reservations
 	pointers        pointers
 	overload        overload
@@ -154,9 +157,15 @@
 // New returns a gate that has no report of its backend server yet. It calls
 // observe with the time to the first byte of each answer.
 func New(config Config, observe func(wait time.Duration)) *Gate {
+	outdated := newest.NewSeries[int64](newest.Policy{
+		Messages: maxMissedReports, MinSpan: config.ReportInterval, MaxGap: maxMissedReports * config.ReportInterval,
+	})
+
 	return &Gate{
-		config: config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot, observeWait: observe,
-		queue: newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
+		outdated: outdated,
+		config:   config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot,
+		observeWait: observe,
+		queue:       newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
 	}
 }
 
@@ -402,10 +411,11 @@
 	}
 }
 
-// Sweep removes expired flows and marks the backend server as silent if it has
+// Sweep removes expired flows, gives up those of a replaced start, and marks the backend server as silent if it has
 // stopped reporting. It reports whether that state changed.
 func (g *Gate) Sweep(now time.Time) bool {
 	changed := g.backend.expire(now, maxMissedReports*g.config.ReportInterval)
+	g.expireReplaced(now)
 
 	if now.Sub(g.lastSweep) < sweepInterval {
 		return changed
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -184,7 +184,13 @@
 	t.Run("silent", func(t *testing.T) {
 		b := newBackendFixture(t)
 		b.report(report(start, 1))
-		b.is.True(b.gate.Sweep(b.now.Add(3*reportInterval + 1)))
+		b.advance(3 * reportInterval)
+		b.fromClient(openHeader, gate.Deliver)
+		b.is.True(b.gate.Sweep(b.now.Add(1)))
+
+		b = newBackendFixture(t)
+		b.report(report(start, 1))
+		b.advance(4 * reportInterval)
 		b.checkRefused(gate.ReasonUnknown)
 
 		b.report(report(start, 2))
@@ -357,7 +363,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackendFixture(t)
-			b.now = start.Add(test.uptime)
+			b.advance(test.uptime)
 
 			first := report(b.now.Add(-test.age), test.sequence)
 			first.WarmUpRemaining = test.warmUp
@@ -368,7 +374,8 @@
 
 	t.Run("no backend server", func(t *testing.T) {
 		b := newBackendFixture(t)
-		b.is.Equal(b.gate.Locate(b.now.Add(4*reportInterval), key), flow.Absent)
+		b.advance(4 * reportInterval)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 	})
 }
 
--- a/internal/coordination/gate/held.go
+++ b/internal/coordination/gate/held.go
@@ -41,6 +41,8 @@
 		return false
 	case g.backend.state == ended:
 		return true
+	case h.backendStart == g.backend.replaced.startMillis:
+		return false // zero, or a start that may still run
 	default:
 		return h.backendStart != 0 && h.backendStart != g.backend.startMillis
 	}
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -18,6 +18,12 @@
 func (g *Gate) Orphans() []Orphan {
 	var orphans []Orphan
 
+	if !g.orphansDue {
+		return nil
+	}
+
+	g.orphansDue = false
+
 	for key, h := range g.flows {
 		if !g.isLost(h) {
 			continue
@@ -64,7 +70,8 @@
 	case unreported:
 		return uptime < g.maxReportGap()
 	case ended:
-		return false
+		// A late announcement is of an earlier start.
+		return g.backend.reports == 0 && uptime < g.maxReportGap()
 	default:
 		return !g.backend.seenFromStart && uptime < learningWindow
 	}
--- a/internal/coordination/gate/start_test.go
+++ b/internal/coordination/gate/start_test.go
@@ -11,6 +11,27 @@
 	"jayspindle/internal/state/roster"
 )
 
+// reportUntilReady passes a report of a start at every interval until the agent
+// publishes that it is ready, and returns the number of reports.
+func (b *backendFixture) reportUntilReady(born time.Time, sequence uint64) int {
+	b.Helper()
+
+	for count := 1; count <= 10; count++ {
+		b.report(report(born, sequence))
+
+		if b.state() == roster.Ready {
+			return count
+		}
+
+		sequence++
+		b.advance(reportInterval)
+	}
+
+	b.Fatal("the backend server keeps reporting and gets no new flows")
+
+	return 0
+}
+
 // advance lets time pass for a gate that runs.
 func (b *backendFixture) advance(elapsed time.Duration) {
 	const step = 250 * time.Millisecond
@@ -83,3 +104,172 @@
 		b.checkInUse(requestHeader.End())
 	})
 }
+
+// TestWrongSequence guards against a backend server that is kept out of use because one
+// of its reports had too high a sequence number.
+func TestWrongSequence(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+	b.report(report(start, 1_000_000))
+
+	for sequence := range uint64(37) {
+		b.advance(reportInterval)
+		b.report(report(start, 4+sequence))
+		b.is.Equal(b.state(), roster.Ready)
+	}
+
+	b.is.Equal(b.report(report(start, 41)), gate.Unchanged)
+	b.checkInUse(requestHeader.End())
+}
+
+// TestWrongStart guards against a backend server that is kept out of use, and whose flows
+// are reset, because of one report of a later start that does not exist.
+func TestWrongStart(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+
+	odd := report(start.Add(time.Hour), 9)
+	odd.ID = "b"
+	b.report(odd)
+
+	sequence := requestHeader.End()
+
+	for count := range uint64(37) {
+		b.advance(reportInterval)
+		b.report(report(start, 4+count))
+		b.is.Equal(b.state(), roster.Ready)
+		b.checkInUse(sequence)
+
+		sequence += uint32(requestHeader.Length)
+	}
+
+	b.is.Equal(b.report(report(start, 41)), gate.Unchanged)
+}
+
+// TestClockAhead guards against a backend server that gets no flows because its machine's
+// clock was ahead when the one before it started.
+func TestClockAhead(t *testing.T) {
+	b := newBackendFixture(t)
+	ahead := start.Add(time.Minute)
+
+	b.report(report(ahead, 1))
+	b.openFlow()
+
+	for sequence := range uint64(4) {
+		b.advance(reportInterval)
+		b.report(report(ahead, 2+sequence))
+	}
+
+	b.advance(4 * reportInterval)
+	b.is.Equal(b.state(), roster.Starting)
+
+	// Three reports prove that it runs.
+	b.is.True(b.reportUntilReady(b.now, 1) <= 3)
+	b.is.Equal(b.gate.Orphans(), []gate.Orphan{{Key: key, Sequence: 5}})
+}
+
+// TestLateReport guards against a start of the backend server that has ended and is in
+// use again because of reports that were delayed.
+func TestLateReport(t *testing.T) {
+	t.Run("of a start that was replaced", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.openOldFlow()
+
+		b.advance(reportInterval)
+		born := b.now
+		b.report(report(born, 1))
+
+		for sequence := range uint64(5) { // arrive together
+			b.is.Equal(b.report(report(start, 4+sequence)), gate.Outdated)
+		}
+
+		b.advance(reportInterval)
+		b.is.Equal(b.report(report(born, 2)), gate.Unchanged)
+		b.advance(reportInterval)
+		b.is.Equal(len(b.gate.Orphans()), 1)
+	})
+
+	t.Run("of a start that has announced its end", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.openOldFlow()
+		b.is.Equal(b.markEnded("a", start.UnixMilli()), gate.Changed)
+		b.is.Equal(b.report(report(start, 4)), gate.Outdated)
+		b.is.Equal(b.report(report(start, 5)), gate.Outdated)
+		b.is.Equal(b.state(), roster.Ended)
+	})
+
+	t.Run("of a start that has announced its end to a new agent", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.is.Equal(b.markEnded("a", start.UnixMilli()), gate.Changed)
+		b.is.Equal(b.report(report(start, 4)), gate.Outdated)
+		b.is.Equal(b.state(), roster.Ended)
+
+		b.advance(time.Second)
+		b.is.Equal(b.report(report(b.now, 1)), gate.Changed)
+	})
+}
+
+// TestWrongEnd guards against a backend server that is kept out of use although it keeps
+// reporting after it was announced as ended.
+func TestWrongEnd(t *testing.T) {
+	b := newBackendFixture(t)
+	b.report(report(start, 1))
+	b.markEnded("a", start.UnixMilli())
+	b.is.True(b.reportUntilReady(start, 2) <= 3)
+}
+
+// TestLeavingOutOfOrder guards against new flows at a backend server that is leaving: its
+// report was acknowledged, but ignored after one with too high a sequence number.
+func TestLeavingOutOfOrder(t *testing.T) {
+	b := newBackendFixture(t)
+	b.report(report(start, 1000))
+
+	leaving := report(start, 2)
+	leaving.Leaving = true
+	b.is.Equal(b.report(leaving), gate.Changed)
+	b.checkRefused(gate.ReasonLeaving)
+}
+
+// TestQuickSuccessor guards against the reset of flows by a report that may be wrong, and
+// against clients that are not told that their flows are lost: those of a start that was
+// replaced are reset once it has missed a report, or when they are used.
+func TestQuickSuccessor(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+
+	b.advance(reportInterval / 2)
+	b.report(report(b.now, 1))
+	b.is.Equal(len(b.gate.Orphans()), 0)
+
+	t.Run("used", func(t *testing.T) {
+		next, returned := requestHeader, requestHeader
+		next.Sequence = requestHeader.End()
+		returned.Returned = true
+
+		b.fromClient(next, gate.Deliver)
+		b.fromBackend(returned, gate.Reset)
+	})
+
+	t.Run("idle", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.openOldFlow()
+
+		b.advance(reportInterval / 2)
+		b.report(report(b.now, 1))
+		b.advance(reportInterval * 3 / 2)
+		b.is.Equal(b.gate.Orphans(), []gate.Orphan{{Key: key, Sequence: 5}})
+	})
+}
+
+// TestLateEnd guards against the denial of flows by a restarted agent that gets the
+// delayed announcement of the end of an earlier backend server.
+func TestLateEnd(t *testing.T) {
+	b := newBackendFixture(t)
+	b.is.Equal(b.markEnded("z", start.Add(-time.Minute).UnixMilli()), gate.Changed)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+	b.is.True(!b.gate.BackendLost(b.now))
+
+	b.advance(2 * reportInterval)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+	b.is.True(b.gate.BackendLost(b.now))
+}
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -240,12 +240,12 @@
 	s.logger.Info("reset the flows of a backend server that has ended", "flows", len(orphans))
 }
 
-// resetEnded resets the flows of a backend server that has announced its end, once it
-// has exited: the platform stops the agent only afterwards. Idle clients then open a
-// new flow for their next request, in place of a search for the old one. The caller
-// holds the mutex.
-func (s *Sidecar) resetEnded(now time.Time) {
-	if s.endedAt.IsZero() || (!s.stopping && now.Sub(s.endedAt) < endedGracePeriod) {
+// resetLost resets the flows of backend servers that have ended. One that has announced
+// its end may still send until it has exited; the platform stops the agent only
+// afterwards. Idle clients then open a new flow for their next request, in place of a
+// search for the old one. The caller holds the mutex.
+func (s *Sidecar) resetLost(now time.Time) {
+	if !s.endedAt.IsZero() && !s.stopping && now.Sub(s.endedAt) < endedGracePeriod {
 		return
 	}
 
@@ -269,7 +269,7 @@
 
 	s.mutex.Lock()
 	s.stopping = true
-	s.resetEnded(time.Now())
+	s.resetLost(time.Now())
 	s.deliver(s.gate.ReleaseQueued(time.Now()))
 	s.mutex.Unlock()
 	s.follower.SendFinalPoll()
@@ -489,7 +489,7 @@
 
 		s.mutex.Lock()
 		changed := s.gate.Sweep(time.Now())
-		s.resetEnded(time.Now())
+		s.resetLost(time.Now())
 		s.startRequests()
 		failing := s.gate.Load(time.Now()).Failing
 		s.mutex.Unlock()
