Keep an agent in the list after one wrong announcement in its name

Callers would see: a message with a high number, or of another start, in the name of an agent shuts its own announcements out. Its flows are declared lost after 5 s, while it runs.

Cause: the list of a controller ignored every announcement with a lower number, and of every start that it took for an earlier one. Only the removal of the agent, after 10 s, ended that.

Evidence: TestWrongAnnouncement failed for both before the change:

roster_test.go:75: not true: records[0].State != roster.Silent

Ruled out in tests: a delayed announcement of an earlier start still changes nothing (TestAnnounce).

Why this works: the same rule as for reports. Three announcements in a row, over 400 ms, without one of the current start, come from an agent that runs.

--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/newest"
 )
 
 const (
@@ -109,9 +110,14 @@
 	Record
 	sequence     uint64
 	lastSeen     time.Time
-	earlierBoots []uint64 // Boot values of earlier starts of the agent
+	earlierBoots []uint64              // Boot values of earlier starts of the agent
+	outdated     newest.Series[uint64] // of announcements, by their Boot value
 }
 
+// outdatedPolicy is for agents that keep announcing themselves: a single announcement with
+// a wrong Boot value or sequence shuts them out until they would be considered silent.
+var outdatedPolicy = newest.Policy{Messages: 3, MinSpan: SilentTimeout / 4, MaxGap: SilentTimeout}
+
 // List is the list of one controller. It is not safe for concurrent use.
 type List struct {
 	epoch    uint64
@@ -150,20 +156,19 @@
 // announcements are ignored.
 func (l *List) Announce(now time.Time, record Record, sequence uint64) bool {
 	known := l.entries[record.Address]
-
-	switch {
-	case known == nil:
-		known = &entry{}
+	if known == nil {
+		known = &entry{outdated: newest.NewSeries[uint64](outdatedPolicy)}
 		l.entries[record.Address] = known
-	case known.Boot == record.Boot && sequence <= known.sequence:
-		return false
-	case slices.Contains(known.earlierBoots, record.Boot):
+	}
+
+	if known.isOutdated(record.Boot, sequence) && !known.outdated.Observe(now, record.Boot, sequence) {
 		return false
-	case known.Boot != record.Boot:
-		known.earlierBoots = append(known.earlierBoots, known.Boot)
-		if len(known.earlierBoots) > maxEarlierBoots {
-			known.earlierBoots = known.earlierBoots[1:]
-		}
+	}
+
+	known.outdated.Reset()
+
+	if known.Boot != record.Boot && !known.lastSeen.IsZero() {
+		known.retireBoot(record.Boot)
 	}
 
 	notifyNow := record.State != known.State || record.Service != known.Service || record.Failing != known.Failing
@@ -178,6 +183,25 @@
 	return notifyNow
 }
 
+// isOutdated reports whether an announcement is older than one that was applied.
+func (e *entry) isOutdated(boot, sequence uint64) bool {
+	if e.lastSeen.IsZero() {
+		return false
+	}
+
+	return (e.Boot == boot && sequence <= e.sequence) || slices.Contains(e.earlierBoots, boot)
+}
+
+// retireBoot records that the agent has restarted with a new Boot value.
+func (e *entry) retireBoot(next uint64) {
+	e.earlierBoots = slices.DeleteFunc(e.earlierBoots, func(boot uint64) bool { return boot == next })
+	e.earlierBoots = append(e.earlierBoots, e.Boot)
+
+	if len(e.earlierBoots) > maxEarlierBoots {
+		e.earlierBoots = e.earlierBoots[1:]
+	}
+}
+
 // Expire marks agents without recent announcements as silent or gone and reports
 // whether any state changed.
 func (l *List) Expire(now time.Time) bool {
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -46,6 +46,42 @@
 	is.Equal(states(records), map[byte]roster.State{1: roster.Starting})
 }
 
+// TestWrongAnnouncement guards against an agent that is considered lost, with its open
+// flows, because one announcement in its name was not its own.
+func TestWrongAnnouncement(t *testing.T) {
+	const interval = 400 * time.Millisecond
+
+	for name, wrong := range map[string]struct{ boot, sequence uint64 }{
+		"high sequence": {7, 1 << 60},
+		"another start": {99, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			list := roster.New(1)
+			now := start
+			list.Announce(now, record(1, roster.Ready), 5)
+
+			odd := record(1, roster.Ended)
+			odd.Boot = wrong.boot
+			list.Announce(now, odd, wrong.sequence)
+
+			for sequence := range uint64(20) {
+				now = now.Add(interval)
+				list.Announce(now, record(1, roster.Ready), 6+sequence)
+				list.Expire(now)
+
+				records, _ := list.Since(0)
+				is.Equal(len(records), 1)
+				is.True(records[0].State != roster.Silent)
+			}
+
+			records, _ := list.Since(0)
+			is.Equal(states(records), map[byte]roster.State{1: roster.Ready})
+			is.Equal(records[0].Boot, uint64(7))
+		})
+	}
+}
+
 // TestSince guards against followers that miss a change, or get all records with
 // each poll.
 func TestSince(t *testing.T) {
