Order checkpoints by the start of their agent alone

Callers would see: flows of a backend server are not recalled after a loss of power, so clients learn at their next request that they are lost.

Cause: a controller refused checkpoints of a lower start of the backend server as outdated. After a start with a clock that was ahead, that was every later one, for as long as the agent ran.

Evidence: TestClockAheadAtBackendStart failed before the change: the controller kept flow 1 of the ended start and never stored flow 2.

Ruled out: late checkpoints that replace newer ones. The epoch of the agent and the position of its changes order them (TestLateBatches, TestClockSetBack); the start of the backend server added nothing to that.

--- a/internal/state/checkpoint/checkpoint_test.go
+++ b/internal/state/checkpoint/checkpoint_test.go
@@ -192,6 +192,25 @@
 	assertStored(t, store, flows(2))
 }
 
+// TestClockAheadAtBackendStart guards against flows that are not stored because the clock
+// was ahead when the backend server before started.
+func TestClockAheadAtBackendStart(t *testing.T) {
+	store := checkpoint.NewStore()
+	tracker := checkpoint.NewTracker(agent, epoch)
+
+	tracker.Observe(backendStart+60_000, flows(1))
+	syncController(t, tracker, controller, store)
+	tracker.Observe(backendStart, flows(2))
+	syncController(t, tracker, controller, store)
+	assertStored(t, store, flows(2))
+
+	// Nor after a restart of the agent.
+	restarted := checkpoint.NewTracker(agent, epoch+1)
+	restarted.Observe(backendStart-60_000, flows(3))
+	syncController(t, restarted, controller, store)
+	assertStored(t, store, flows(3))
+}
+
 // TestLateBatches guards against delayed batches of an earlier start that replace
 // newer ones.
 func TestLateBatches(t *testing.T) {
--- a/internal/state/checkpoint/store.go
+++ b/internal/state/checkpoint/store.go
@@ -63,9 +63,10 @@
 	switch {
 	case stored == nil && batch.From > 0:
 		return fullRequest, false
-	case stored != nil && (batch.BackendStart < stored.backendStart ||
-		(batch.BackendStart == stored.backendStart && batch.Epoch < stored.epoch)):
-		return Acknowledgement{Epoch: stored.epoch}, false // the batch is of an earlier start
+	case stored != nil && batch.Epoch < stored.epoch:
+		// The batch is of an earlier start of the agent. The starts of backend servers do
+		// not tell the order: the clock may have been ahead at one of them.
+		return Acknowledgement{Epoch: stored.epoch}, false
 	case stored != nil && batch.Epoch == stored.epoch && batch.To <= stored.position:
 		return Acknowledgement{Epoch: stored.epoch, Position: stored.position}, false
 	case batch.From == 0:
