Leave an agent's own pauses out of the silence of its backend server

Callers would see: an agent that is frozen for some seconds and then stopped loses its flows, and one that is frozen soon after its start denies flows that it has not seen, while the backend server lives.

Cause: the time since the last report counted as silence although the agent did not run and read no reports.

Evidence: TestPausedAgent failed before the change:

Ruled out: the suspension of a machine. The monotonic clock stands still then, so it does not count.

That time is left out of the age of the last report and of the uptime of the gate, on which all its claims rest.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -293,7 +293,7 @@
 // clock may have been set back in between, so this counts only for the first calls, or
 // while the backend server is still cold.
 func (g *Gate) sawStart(now time.Time, report Report) bool {
-	uptime := now.Sub(g.config.Boot)
+	uptime := g.uptime(now)
 	if report.Sequence < uint64(max(0, uptime)/g.maxReportGap()) {
 		return true
 	}
@@ -341,7 +341,7 @@
 	case silent:
 		return true
 	case unreported:
-		return now.Sub(g.config.Boot) > maxMissedReports*g.config.ReportInterval
+		return g.uptime(now) > maxMissedReports*g.config.ReportInterval
 	case serving, leaving:
 	}
 
@@ -360,6 +360,16 @@
 	return true
 }
 
+// postpone leaves out a time in which the gate did not run from the time since the last
+// reports.
+func (b *backend) postpone(now time.Time, pause time.Duration) {
+	for _, last := range []*time.Time{&b.lastReport, &b.replaced.lastReport} {
+		if *last = last.Add(pause); last.After(now) {
+			*last = now
+		}
+	}
+}
+
 // Record returns the entry of this agent for the list of agents.
 func (g *Gate) Record(now time.Time) roster.Record {
 	b := &g.backend
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -59,6 +59,10 @@
 	// sweepInterval is how often expired flows are removed.
 	sweepInterval = 5 * time.Second
 
+	// maxPause is the longest time between two sweeps of a gate that runs. The time beyond
+	// it does not count as silence of the backend server: its reports were not read.
+	maxPause = time.Second
+
 	// maxMissedReports is the number of reports that a backend server may miss
 	// before it gets no new flows.
 	maxMissedReports = 3
@@ -149,7 +153,9 @@
 	queue           queue
 	health          health
 	lastSweep       time.Time
-	lastExpiry      time.Time // last check for overdue answers
+	lastRun         time.Time     // last call of Sweep
+	paused          time.Duration // time in which the gate did not run
+	lastExpiry      time.Time     // last check for overdue answers
 	counters        Counters
 	observeWait     func(wait time.Duration)
 }
@@ -163,7 +169,7 @@
 
 	return &Gate{
 		outdated: outdated,
-		config:   config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot,
+		config:   config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot, lastRun: config.Boot,
 		observeWait: observe,
 		queue:       newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
 	}
@@ -411,9 +417,26 @@
 	}
 }
 
+// uptime returns for how long the gate has run.
+func (g *Gate) uptime(now time.Time) time.Duration {
+	uptime := now.Sub(g.config.Boot) - g.paused
+	if pause := now.Sub(g.lastRun); pause > maxPause {
+		uptime -= pause
+	}
+
+	return uptime
+}
+
 // Sweep removes expired flows, gives up those of a replaced start, and marks the backend server as silent if it has
 // stopped reporting. It reports whether that state changed.
 func (g *Gate) Sweep(now time.Time) bool {
+	if pause := now.Sub(g.lastRun); pause > maxPause {
+		g.paused += pause
+		g.backend.postpone(now, pause)
+	}
+
+	g.lastRun = now
+
 	changed := g.backend.expire(now, maxMissedReports*g.config.ReportInterval)
 	g.expireReplaced(now)
 
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -64,7 +64,7 @@
 // gate has not seen. If there was no report within maxReportGap after the gate started,
 // there is no backend server.
 func (g *Gate) mayHoldUnseenFlows(now time.Time) bool {
-	uptime := now.Sub(g.config.Boot)
+	uptime := g.uptime(now)
 
 	switch g.backend.state {
 	case unreported:
--- a/internal/coordination/gate/start_test.go
+++ b/internal/coordination/gate/start_test.go
@@ -273,3 +273,33 @@
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 	b.is.True(b.gate.BackendLost(b.now))
 }
+
+// TestPausedAgent guards against an agent that takes the time in which it did not run for
+// silence of its backend server, whose reports it could not read.
+func TestPausedAgent(t *testing.T) {
+	const pause = 10 * time.Second
+
+	t.Run("backend server in use", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.openOldFlow()
+		b.now = b.now.Add(pause)
+		b.is.True(!b.gate.Sweep(b.now))
+		b.is.Equal(b.state(), roster.Ready)
+		b.is.True(!b.gate.BackendLost(b.now))
+
+		b.advance(4 * reportInterval) // without a report
+		b.is.Equal(b.state(), roster.Starting)
+		b.is.True(b.gate.BackendLost(b.now))
+	})
+
+	t.Run("before the first report", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.advance(reportInterval / 2)
+		b.now = b.now.Add(pause)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+		b.is.True(!b.gate.BackendLost(b.now))
+		b.gate.Sweep(b.now)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+		b.is.True(!b.gate.BackendLost(b.now))
+	})
+}
