Open the data directory again if a controller could not store that it joins

Here, a new controller whose disk is full just when the group adds it never becomes a member, and with four of five members every document is refused.

Cause: a log refuses everything after a failed write until it is opened again. That happened only for failures of the Raft node, which a joining replica does not have yet. Its error was dropped at debug level, and the same log was asked again with each answer of the group.

Evidence: TestFullDiskAtJoin failed before the change:

fulldisk_test.go:118: not within 20s: the members are [1 3 4 5 6]

Why this works: a failed join takes the path of every other failed write. The directory is closed, and opened again 0.25 s later, until the disk has room. The file operations are a setting of the controller now, so that tests can limit the disk.

After: both tests pass under the race detector.

--- a/internal/coordination/gate/start_test.go
+++ b/internal/coordination/gate/start_test.go
@@ -241,7 +241,7 @@
 	b.report(report(b.now, 1))
 	b.is.Equal(len(b.gate.Orphans()), 0)
 
-	t.Run("used", func(t *testing.T) {
+	t.Run("used", func(*testing.T) {
 		next, returned := requestHeader, requestHeader
 		next.Sequence = requestHeader.End()
 		returned.Returned = true
--- a/internal/program/inspect/inspect_test.go
+++ b/internal/program/inspect/inspect_test.go
@@ -16,6 +16,7 @@
 	"jayspindle/internal/program/sidecar"
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/route"
+	"jayspindle/internal/state/wal"
 )
 
 // waitTimeout limits the wait for a condition.
@@ -88,6 +89,7 @@
 	}
 
 	r, err := registry.New(registry.Settings{
+		Files:          wal.WithoutModes(),
 		ControlAddress: controller.AddrPort(), Directory: t.TempDir(), Seeds: seeds, Bootstrap: true,
 	}, interpret, logger)
 	is.NoErr(err)
--- a/internal/program/registry/checkpoints.go
+++ b/internal/program/registry/checkpoints.go
@@ -40,6 +40,7 @@
 // poll. It has a goroutine of its own, so that the replicated log does not wait
 // for it.
 type checkpointService struct {
+	files          wal.Files
 	directory      string
 	conn           *frag.Conn
 	logger         *slog.Logger
@@ -52,9 +53,11 @@
 	knownInstances *knownInstances
 }
 
-func newCheckpointService(directory string, conn *frag.Conn, logger *slog.Logger) *checkpointService {
+func newCheckpointService(
+	files wal.Files, directory string, conn *frag.Conn, logger *slog.Logger,
+) *checkpointService {
 	return &checkpointService{
-		directory: directory, conn: conn, logger: logger, inbox: make(chan receivedBatch, maxPendingBatches),
+		files: files, directory: directory, conn: conn, logger: logger, inbox: make(chan receivedBatch, maxPendingBatches),
 		store: checkpoint.NewStore(), knownInstances: newKnownInstances(),
 	}
 }
@@ -110,14 +113,14 @@
 func (s *checkpointService) open(now time.Time) {
 	store := checkpoint.NewStore()
 
-	file, err := checkpoint.OpenFile(now, wal.WithoutModes(), s.directory, store)
+	file, err := checkpoint.OpenFile(now, s.files, s.directory, store)
 	if err != nil {
 		s.logger.Warn("could not open the checkpoints", "error", err)
 
 		return
 	}
 
-	instances, err := readKnownInstances(wal.WithoutModes(), filepath.Join(s.directory, instancesFile))
+	instances, err := readKnownInstances(s.files, filepath.Join(s.directory, instancesFile))
 	if err != nil {
 		s.logger.Warn("could not read the known instances", "error", err)
 	}
@@ -212,7 +215,7 @@
 		return err
 	}
 
-	return wal.ReplaceFile(wal.WithoutModes(), s.directory, instancesFile, framed)
+	return wal.ReplaceFile(s.files, s.directory, instancesFile, framed)
 }
 
 // reset closes the file and clears the stored checkpoints until the disk can be
--- a/internal/program/registry/members.go
+++ b/internal/program/registry/members.go
@@ -296,8 +296,11 @@
 		return nil
 	}
 
+	// A log that has failed to write refuses everything until it is opened again.
 	if err := o.log.Join(wal.ClusterID(reply.Cluster), reply.Generation); err != nil {
-		return err
+		o.leaveGroup(now, err)
+
+		return nil
 	}
 
 	o.logger.Info("joins a group", "cluster", wal.ClusterID(reply.Cluster).String())
--- a/internal/program/registry/owner.go
+++ b/internal/program/registry/owner.go
@@ -147,19 +147,24 @@
 			err = o.takeSnapshot()
 		}
 
-		// A replica whose disk refuses writes must stop answering, so that another
-		// one takes the lead. It returns once the disk accepts writes again.
 		if err != nil {
-			o.logger.Error("left the group until the data directory can be written", "error", err)
-			o.closeStorage()
-
-			o.lastOpen = now
+			o.leaveGroup(now, err)
 		}
 	}
 
 	o.publish(time.Now())
 }
 
+// leaveGroup closes the data directory after a failed write, until tick opens it again. A
+// replica whose disk refuses writes must stop answering, so that another one takes the
+// lead.
+func (o *owner) leaveGroup(now time.Time, cause error) {
+	o.logger.Error("left the group until the data directory can be written", "error", cause)
+	o.closeStorage()
+
+	o.lastOpen = now
+}
+
 // handleReady saves, sends and applies what the Raft node returns, in the order
 // that Raft requires, until nothing is left.
 func (o *owner) handleReady() error {
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -40,6 +40,7 @@
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/roster"
 	"jayspindle/internal/state/route"
+	"jayspindle/internal/state/wal"
 	"jayspindle/internal/transport/frag"
 )
 
@@ -89,6 +90,7 @@
 type Settings struct {
 	ControlAddress netip.AddrPort // address for messages between processes
 	Directory      string         // data directory, created if it does not exist
+	Files          wal.Files      // file operations on it
 	Seeds          func() []flow.Endpoint
 	// Bootstrap is set when the whole deployment starts for the first time, with
 	// empty disks. The seeds then form the group.
@@ -167,7 +169,7 @@
 		agents: roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
 	}
 	r.published.Store(&publishedState{})
-	r.checkpoints = newCheckpointService(filepath.Join(settings.Directory, flowsDirectory), conn, logger)
+	r.checkpoints = newCheckpointService(settings.Files, filepath.Join(settings.Directory, flowsDirectory), conn, logger)
 
 	return r, nil
 }
--- a/internal/program/registry/registry_test.go
+++ b/internal/program/registry/registry_test.go
@@ -37,6 +37,7 @@
 
 	mutex   sync.Mutex
 	running map[int]*process
+	disks   map[string]*limitedDisk // by data directory
 }
 
 type process struct {
@@ -50,7 +51,7 @@
 
 	c := &cluster{
 		T: t, is: is.New(t), directory: t.TempDir(), subnet: 40 + lastSubnet.Add(1), port: 21_000,
-		running: make(map[int]*process),
+		running: make(map[int]*process), disks: make(map[string]*limitedDisk),
 	}
 
 	for number := range 3 {
@@ -80,8 +81,12 @@
 func (c *cluster) start(number int, disk string, first bool) {
 	c.Helper()
 
+	if c.disks[disk] == nil {
+		c.disks[disk] = newLimitedDisk()
+	}
+
 	built, err := registry.New(registry.Settings{
-		ControlAddress: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
+		Files: c.disks[disk], ControlAddress: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
 		Seeds: func() []flow.Endpoint { return c.seeds }, Bootstrap: first, MaxLostDisks: 2,
 	}, interpret, slog.New(slog.DiscardHandler))
 	c.is.NoErr(err)
@@ -108,8 +113,11 @@
 func (c *cluster) kill(number int) {
 	c.Helper()
 
+	c.mutex.Lock()
 	stopped := c.running[number]
 	delete(c.running, number)
+	c.mutex.Unlock()
+
 	stopped.stop()
 	c.is.NoErr(<-stopped.done)
 }
@@ -134,7 +142,7 @@
 	c.Helper()
 
 	c.eventually(fmt.Sprintf("version %d is accepted", version), func() bool {
-		for _, p := range c.running {
+		for _, p := range c.processes() {
 			if held, err := p.Submit(context.Background(), version, document(version)); err == nil {
 				c.is.True(held >= version)
 
--- a/internal/program/registry/storage.go
+++ b/internal/program/registry/storage.go
@@ -25,8 +25,7 @@
 }
 
 func (o *owner) open(now time.Time) error {
-	// The disks of these deployments do not store permissions.
-	options := []wal.Option{wal.WithFiles(wal.WithoutModes())}
+	options := []wal.Option{wal.WithFiles(o.settings.Files)}
 	if o.isInitialMember() {
 		options = append(options, wal.WithReplica(initialReplicaID(o.self)))
 	}
--- a/internal/program/sidecar/checkpointer_test.go
+++ b/internal/program/sidecar/checkpointer_test.go
@@ -46,8 +46,9 @@
 }
 
 // fakeController is a controller that holds a checkpoint of the agent, and records
-// the kinds of the messages that it receives and the states that the agent announces. It ignores the first three restore
-// requests, like a controller that is still reading its disk.
+// the kinds of the messages that it receives and the states that the agent announces. It
+// ignores the first three restore requests, like a controller that is still reading its
+// disk.
 type fakeController struct {
 	conn   *frag.Conn
 	stored checkpoint.Batch
--- a/internal/program/sidecar/metrics.go
+++ b/internal/program/sidecar/metrics.go
@@ -42,6 +42,7 @@
 	return Metrics{
 		Decisions: s.gate.Counters(), Flows: int(load.Flows), Waiting: int(load.Waiting),
 		Failing: load.Failing, Version: s.gate.Version(),
-		Answers: s.answerTimes.Summary(), Backend: backend, Refused: s.refused.Load(), Malformed: s.malformed.Load() + s.control.Dropped(),
+		Answers: s.answerTimes.Summary(), Backend: backend, Refused: s.refused.Load(),
+		Malformed: s.malformed.Load() + s.control.Dropped(),
 	}
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -179,7 +179,8 @@
 	case outcome == gate.Changed:
 		s.logger.Info("the backend server changed", "id", report.ID, "born", report.StartMillis, "sequence", report.Sequence,
 			"leaving", report.Leaving, "slots", report.Slots, "cold_ms", report.WarmUpRemaining.Milliseconds(),
-			"age_ms", now.UnixMilli()-report.StartMillis, "agent_age_ms", now.Sub(s.started).Milliseconds(), "all_flows_seen", complete)
+			"age_ms", now.UnixMilli()-report.StartMillis, "agent_age_ms", now.Sub(s.started).Milliseconds(),
+			"all_flows_seen", complete)
 		s.follower.Poll()
 	}
 
--- a/internal/state/newest/newest_test.go
+++ b/internal/state/newest/newest_test.go
@@ -34,7 +34,9 @@
 		"repeated":             {[]message{{0, 1, 5, false}, {interval, 1, 5, false}, {interval, 1, 5, false}}, false},
 		"reordered":            {[]message{{0, 1, 7, false}, {interval, 1, 6, false}, {interval, 1, 5, false}}, false},
 		"of two runs":          {[]message{{0, 1, 5, false}, {interval, 2, 6, false}, {interval, 1, 7, false}}, false},
-		"rare":                 {[]message{{0, 1, 5, false}, {4 * interval, 1, 6, false}, {4 * interval, 1, 7, false}}, false},
+		"rare": {
+			[]message{{0, 1, 5, false}, {4 * interval, 1, 6, false}, {4 * interval, 1, 7, false}}, false,
+		},
 		"the newest still sends": {
 			[]message{{0, 1, 5, false}, {interval, 1, 6, false}, {0, 0, 0, true}, {interval, 1, 7, false}}, false,
 		},
