Sync the last records of a log before they count as stored

Callers would see: a document that was accepted is gone after a loss of power. It needs a controller that is killed while it syncs and confirms the entry after its restart (suspected by the review).

Cause: opening a log counted every complete record as stored, also one that was written and never synced.

Evidence: TestKilledDuringSync failed before the change: the entry that a reopened log had returned was missing after a crash. TestOpenOnFullDisk failed too: an attempt to open the directory of a full disk left a file open.

Ruled out: earlier records and segments. Each record is synced before the next is written, and a segment before the next is created.

Why this works: the last segment and the directory are synced once when the log is opened. After that, what was read back is on the disk.

--- a/internal/state/wal/segment.go
+++ b/internal/state/wal/segment.go
@@ -150,6 +150,9 @@
 
 // openActive opens the last segment for appending, or the first one of a new
 // directory. A crash during the creation of a segment leaves it empty.
+//
+// The last record may have been written by a process that was killed before it synced it.
+// It counts as stored from now on, so it is synced here.
 func (l *Log) openActive() error {
 	if len(l.segments) == 0 {
 		return l.createSegment(1)
@@ -169,6 +172,14 @@
 
 	l.active = active
 
+	if err := active.Sync(); err != nil {
+		return newError("open", KindFiles, l.segmentPath(current.sequence), 0, err)
+	}
+
+	if err := l.files.SyncDirectory(l.directory); err != nil {
+		return newError("open", KindFiles, l.directory, 0, err)
+	}
+
 	return nil
 }
 
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -92,6 +92,10 @@
 	}
 
 	if err := l.open(); err != nil {
+		if l.active != nil {
+			err = errors.Join(err, l.active.Close())
+		}
+
 		if l.lock != nil {
 			err = errors.Join(err, l.lock.Close())
 		}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -202,6 +202,54 @@
 	})
 }
 
+// Guards against entries that a killed process has written but not synced: a replica
+// that read them after its restart and confirmed them lost them with the next loss of
+// power.
+func TestKilledDuringSync(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		d := newDisk(seed)
+
+		log := open(t, d)
+		is.NoErr(log.Save(&wal.HardState{Term: 1}, entries(1, 1, 1)))
+		d.FailSyncs(true)
+		is.True(log.Save(nil, entries(2, 1, 1)) != nil)
+		is.NoErr(log.Close())
+		d.FailSyncs(false)
+
+		log = open(t, d)
+		found := log.TakeStored()
+		is.NoErr(log.Close())
+		d.Crash()
+		is.Equal(open(t, d).TakeStored(), found)
+	}
+}
+
+// Guards against open files that accumulate while a full disk is opened again and again.
+func TestOpenOnFullDisk(t *testing.T) {
+	is := is.New(t)
+	d := newDisk(1)
+	snapshot := &wal.Snapshot{Index: 2, Term: 1, Data: []byte("state")}
+	encoded, err := wal.EncodeSnapshot(snapshot)
+	is.NoErr(err)
+
+	// The snapshot is stored, but not the record that refers to it.
+	log := open(t, d)
+	is.NoErr(log.Save(&wal.HardState{Term: 1}, entries(1, 2, 1)))
+	d.Limit(len(encoded))
+	is.True(log.SaveSnapshot(snapshot) != nil)
+	is.NoErr(log.Close())
+
+	for range 3 {
+		_, err := wal.Open(directory, wal.WithFiles(d))
+		is.True(err != nil)
+		is.Equal(d.OpenFiles(), 0)
+	}
+
+	d.Limit(-1)
+	is.NoErr(open(t, d).Close())
+}
+
 // newFilledDisk returns a disk with four entries, the name of their segment and the
 // offset at which each record ends.
 func newFilledDisk(t *testing.T) (*disk.Disk, string, []int) {
--- a/internal/testing/disk/disk.go
+++ b/internal/testing/disk/disk.go
@@ -40,6 +40,7 @@
 	freeBytes int // bytes that can still be written, negative for no limit
 	failSync  bool
 	syncs     int
+	openFiles int // handles that were not closed
 }
 
 type contents struct {
@@ -65,6 +66,9 @@
 // Syncs returns the number of successful syncs of files.
 func (d *Disk) Syncs() int { return d.syncs }
 
+// OpenFiles returns the number of files that were opened and not closed.
+func (d *Disk) OpenFiles() int { return d.openFiles }
+
 // Contents returns the bytes of a file without copying, so that a test can
 // corrupt them in place. It returns nil if the file does not exist.
 func (d *Disk) Contents(name string) []byte {
@@ -181,6 +185,8 @@
 		d.files[name] = file
 	}
 
+	d.openFiles++
+
 	return &handle{disk: d, contents: file, crashes: d.crashes}, nil
 }
 
@@ -232,6 +238,7 @@
 	disk     *Disk
 	contents *contents
 	crashes  int
+	closed   bool
 }
 
 // Write appends data, or the part for which there is space.
@@ -272,4 +279,11 @@
 }
 
 // Close does nothing.
-func (h *handle) Close() error { return nil }
+func (h *handle) Close() error {
+	if !h.closed {
+		h.closed = true
+		h.disk.openFiles--
+	}
+
+	return nil
+}
