Do not reset recalled flows with an outdated sequence number

Callers saw: after a loss of power, clients of flows that carry some 320 KB/s get a reset whose sequence number is more than twice as far behind as allowed. A client that checks it takes the packet for forged and waits on a dead flow.

Cause: the number comes from a checkpoint, which can be 0.5 s and 32 KiB old.

TestFastFlow asks for what did not exist: a checkpoint that is due, and flows that are left out of it.

Ruled out: sending several resets with different numbers. Each one outside the window is a packet that nobody wrote so.

Why this works: a stored flow whose client has acknowledged 24 KiB more is stored again at once, or taken out if it is faster than 64 KB/s. Its client gets a reset with the right number in answer to its next packet.

--- a/internal/coordination/gate/checkpoint.go
+++ b/internal/coordination/gate/checkpoint.go
@@ -7,15 +7,57 @@
 	"jayspindle/internal/state/flow"
 )
 
-// minCheckpointAge is the age from which a flow is included in checkpoints. Most
-// flows that carry a single request end sooner.
-const minCheckpointAge = time.Second
+const (
+	// minCheckpointAge is the age from which a flow is included in checkpoints. Most
+	// flows that carry a single request end sooner.
+	minCheckpointAge = time.Second
+
+	// maxUnstoredBytes is how many bytes a client may acknowledge after the last
+	// checkpoint of its flow before another one is due. A client takes a reset for forged
+	// if the sequence number is more than 76,800 bytes behind. The tracker leaves out
+	// changes of up to 32 KiB, and 19 KiB can be on the way.
+	maxUnstoredBytes = 24 << 10
+
+	// maxStoredRate is the rate in bytes per second up to which a flow is included in
+	// checkpoints, which are 0.5 s apart. The sequence number of a faster one would be
+	// outdated. Its client is reset when it sends its next packet.
+	maxStoredRate = 64 << 10
+)
+
+// storedProgress is what the last checkpoint of a flow tells about it.
+type storedProgress struct {
+	included bool
+	acked    uint32
+	at       time.Time
+}
+
+// isOutdated reports whether the client has acknowledged so much since the last
+// checkpoint that another one is due.
+func (p *storedProgress) isOutdated(acked uint32) bool {
+	return p.included && int32(acked-p.acked) > maxUnstoredBytes
+}
+
+// update records the progress of a flow for a checkpoint. It reports whether the flow can
+// be included.
+func (p *storedProgress) update(now time.Time, acked uint32) bool {
+	progress := max(0, int32(acked-p.acked)) // a packet may arrive late
+	known := !p.at.IsZero()
+	elapsed := now.Sub(p.at).Seconds()
+
+	*p = storedProgress{included: !known || float64(progress) <= maxStoredRate*elapsed, acked: acked, at: now}
+
+	return p.included
+}
+
+// CheckpointDue reports whether the checkpoint of a flow is outdated.
+func (g *Gate) CheckpointDue() bool { return g.checkpointDue }
 
 // LongLivedFlows returns the start time of the backend server and the flows to store in
 // a checkpoint, which survives the loss of the instance. The value of each flow is
 // the last sequence number that its client acknowledged.
 func (g *Gate) LongLivedFlows(now time.Time) (backendStart int64, flows map[flow.Key]uint32) {
 	flows = make(map[flow.Key]uint32, len(g.flows))
+	g.checkpointDue = false
 
 	if g.backend.state == ended {
 		return g.backend.startMillis, flows
@@ -25,7 +67,7 @@
 		// A flow that is younger than the last report may be of a start that has not
 		// reported yet.
 		if h.state == open && h.confirmed && h.backendStart == g.backend.startMillis && !h.closedBy[0] && !h.closedBy[1] &&
-			now.Sub(h.addedAt) >= minCheckpointAge && h.addedAt.Before(g.backend.lastReport) {
+			now.Sub(h.addedAt) >= minCheckpointAge && h.addedAt.Before(g.backend.lastReport) && h.stored.update(now, h.acked) {
 			flows[key] = h.acked
 		}
 	}
--- a/internal/coordination/gate/checkpoint_test.go
+++ b/internal/coordination/gate/checkpoint_test.go
@@ -37,6 +37,49 @@
 	b.is.Equal(len(flows), 0)
 }
 
+// TestFastFlow guards against resets of recalled flows whose sequence number is so
+// outdated that a client takes them for forged.
+func TestFastFlow(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+
+	acknowledge := func(total uint32) {
+		b.fromClient(flow.Header{Acks: true, Acknowledged: total}, gate.Deliver)
+	}
+	stored := func() map[flow.Key]uint32 {
+		_, flows := b.gate.LongLivedFlows(b.now)
+
+		return flows
+	}
+
+	acknowledge(1000)
+	b.is.Equal(stored(), map[flow.Key]uint32{key: 1000})
+
+	// Slow progress is stored at the usual interval.
+	b.now = b.now.Add(500 * time.Millisecond)
+	acknowledge(21_000)
+	b.is.True(!b.gate.CheckpointDue())
+	b.is.Equal(stored(), map[flow.Key]uint32{key: 21_000})
+
+	// A flow that gets too fast is taken out at once.
+	b.now = b.now.Add(50 * time.Millisecond)
+	acknowledge(46_000)
+	b.is.True(b.gate.CheckpointDue())
+	b.is.Equal(stored(), map[flow.Key]uint32{})
+	b.is.True(!b.gate.CheckpointDue())
+
+	b.now = b.now.Add(50 * time.Millisecond)
+	acknowledge(100_000)
+	b.is.True(!b.gate.CheckpointDue())
+
+	// It is stored again once it is slow.
+	b.now = b.now.Add(500 * time.Millisecond)
+	stored()
+
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.is.Equal(stored(), map[flow.Key]uint32{key: 100_000})
+}
+
 // TestRecover guards against clients that send their next request on a flow that
 // was lost with its instance, and against the reset of flows that still exist.
 func TestRecover(t *testing.T) {
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -143,6 +143,7 @@
 	backend         backend
 	outdated        newest.Series[int64] // of reports, by their start
 	flows           map[flow.Key]*trackedFlow
+	checkpointDue   bool // the checkpoint of a flow is outdated
 	orphansDue      bool // a start of the backend server has ended since the last call of Orphans
 	openFlows       int  // flows that are not closed
 	waitingFlows    int  // flows whose client waits for an answer
@@ -231,6 +232,7 @@
 	}
 
 	h.forwarder, h.lastPacket, h.acked = forwarder, now, header.Acknowledged
+	g.checkpointDue = g.checkpointDue || h.stored.isOutdated(h.acked)
 
 	decision := Decision{Kind: g.handleClientPacket(now, key, h, header, packet)}
 	if decision.Kind == Drop {
--- a/internal/coordination/gate/held.go
+++ b/internal/coordination/gate/held.go
@@ -22,7 +22,8 @@
 	forwarder    flow.Endpoint
 	addedAt      time.Time
 	lastPacket   time.Time
-	acked        uint32    // last sequence number that the client acknowledged
+	acked        uint32 // last sequence number that the client acknowledged
+	stored       storedProgress
 	waitingSince time.Time // when the client sent its request; zero if no answer is outstanding
 	sawData      bool      // the client has sent data
 	nextSequence uint32    // sequence number after the last data of the client
--- a/internal/program/sidecar/checkpointer.go
+++ b/internal/program/sidecar/checkpointer.go
@@ -22,6 +22,9 @@
 	// loses power. Flows that it does not contain are not recovered.
 	checkpointInterval = 500 * time.Millisecond
 
+	// minCheckpointInterval is the time between two checkpoints if one is due sooner.
+	minCheckpointInterval = 50 * time.Millisecond
+
 	// checkpointCopies is one more than the number of disks that a deployment may
 	// lose at once.
 	checkpointCopies = 3
@@ -47,6 +50,7 @@
 	// backend server has reported.
 	recoverFlows   func(stored checkpoint.RestoredFlows) (done bool)
 	longLivedFlows func() (startMillis int64, flows map[flow.Key]uint32)
+	due            chan struct{} // a checkpoint is due before the interval has passed
 
 	mutex        sync.Mutex
 	tracker      *checkpoint.Tracker
@@ -62,28 +66,51 @@
 		recoverFlows: s.recoverFlows, longLivedFlows: s.longLivedFlows,
 		tracker:  checkpoint.NewTracker(agent, uint64(time.Now().UnixMilli())),
 		answered: make(map[flow.Endpoint]bool),
+		due:      make(chan struct{}, 1),
 	}
 }
 
 // run restores the flows of an earlier start, then sends checkpoints until ctx ends.
 // A checkpoint sent before they are restored would overwrite the stored one.
 func (c *checkpointer) run(ctx context.Context) {
-	c.repeat(ctx, restoreInterval, time.Now().Add(restoreTimeout), c.requestRestore)
-	c.repeat(ctx, checkpointInterval, time.Time{}, c.sendCheckpoints)
-}
+	c.restore(ctx)
 
-// repeat calls a function at an interval until it returns true, the deadline passes
-// or ctx ends. A zero deadline never passes.
-func (*checkpointer) repeat(ctx context.Context, interval time.Duration, deadline time.Time, call func() bool) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.sendCheckpoints()
+		wait(ctx, minCheckpointInterval, nil)
+		wait(ctx, checkpointInterval-minCheckpointInterval, c.due)
+	}
+}
 
-	for !call() && (deadline.IsZero() || time.Now().Before(deadline)) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+// restore asks for the flows of an earlier start until all controllers have answered, or
+// restoreTimeout has passed.
+func (c *checkpointer) restore(ctx context.Context) {
+	for deadline := time.Now().Add(restoreTimeout); ctx.Err() == nil && time.Now().Before(deadline); {
+		if c.requestRestore() {
 			return
 		}
+
+		wait(ctx, restoreInterval, nil)
+	}
+}
+
+// wait returns when the time has passed, a signal arrives or ctx ends.
+func wait(ctx context.Context, duration time.Duration, signal <-chan struct{}) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-signal:
+	case <-ctx.Done():
+	}
+}
+
+// requestCheckpoint requests a checkpoint without waiting for the interval.
+func (c *checkpointer) requestCheckpoint() {
+	select {
+	case c.due <- struct{}{}:
+	default: // one is already requested
 	}
 }
 
@@ -121,12 +148,11 @@
 	}
 }
 
-// sendCheckpoints sends each holder the changes that it lacks. It always returns
-// false, so that repeat calls it until ctx ends.
-func (c *checkpointer) sendCheckpoints() bool {
+// sendCheckpoints sends each holder the changes that it lacks.
+func (c *checkpointer) sendCheckpoints() {
 	startMillis, flows := c.longLivedFlows()
 	if startMillis == 0 {
-		return false
+		return
 	}
 
 	c.mutex.Lock()
@@ -153,8 +179,6 @@
 	}
 
 	c.tracker.DropClosed(holders)
-
-	return false
 }
 
 // selectHolders returns the controllers that store the checkpoints of this agent.
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -321,6 +321,10 @@
 
 	s.execute(header.Key(), header, s.gate.FromClient(time.Now(), forwarder, header, packet), packet)
 	s.startRequests()
+
+	if s.gate.CheckpointDue() {
+		s.checkpointer.requestCheckpoint()
+	}
 }
 
 // handleFromBackend handles a packet that the backend server sent, or a client's
