Begin the count of outdated reports anew with each start

Found while reading the change: outdated reports of a start were counted on across a report of a later one, so three late reports spread over two restarts of the backend server brought the first one back. The subtest "of two starts that were replaced one after the other" of TestLateReport failed before.

A flow that is taken out of the checkpoints, for instance since one side has closed it, no longer asks for a checkpoint with each packet.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -42,6 +42,7 @@
 
 	switch {
 	case b.state == unreported || report.StartMillis > b.startMillis:
+		g.outdated.Reset()
 		g.beginStart(now, report)
 
 		return Changed, nil
--- a/internal/coordination/gate/checkpoint.go
+++ b/internal/coordination/gate/checkpoint.go
@@ -64,10 +64,13 @@
 	}
 
 	for key, h := range g.flows {
-		// A flow that is younger than the last report may be of a start that has not
-		// reported yet.
-		if h.state == open && h.confirmed && h.backendStart == g.backend.startMillis && !h.closedBy[0] && !h.closedBy[1] &&
-			now.Sub(h.addedAt) >= minCheckpointAge && h.addedAt.Before(g.backend.lastReport) && h.stored.update(now, h.acked) {
+		if !g.isLongLived(now, h) {
+			h.stored = storedProgress{}
+
+			continue
+		}
+
+		if h.stored.update(now, h.acked) {
 			flows[key] = h.acked
 		}
 	}
@@ -75,6 +78,15 @@
 	return g.backend.startMillis, flows
 }
 
+// isLongLived reports whether a flow is certainly open at the current start of the backend
+// server, and old enough for a checkpoint. One that is younger than the last report may be
+// of a start that has not reported yet.
+func (g *Gate) isLongLived(now time.Time, h *trackedFlow) bool {
+	return h.state == open && h.confirmed && !h.closedBy[0] && !h.closedBy[1] &&
+		h.backendStart == g.backend.startMillis && h.addedAt.Before(g.backend.lastReport) &&
+		now.Sub(h.addedAt) >= minCheckpointAge
+}
+
 // RecoverFlows restores the flows of a checkpoint that an earlier start of the agent
 // wrote. Flows of an earlier start of the backend server are lost and returned as
 // orphans; those of its current start are tracked again. RecoverFlows returns false as
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -169,10 +169,9 @@
 	})
 
 	return &Gate{
-		outdated: outdated,
-		config:   config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot, lastRun: config.Boot,
-		observeWait: observe,
-		queue:       newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
+		config: config, flows: make(map[flow.Key]*trackedFlow), lastSweep: config.Boot, lastRun: config.Boot,
+		outdated: outdated, observeWait: observe,
+		queue: newQueue(), pointers: pointers{byKey: make(map[flow.Key]pointer)},
 	}
 }
 
@@ -429,8 +428,8 @@
 	return uptime
 }
 
-// Sweep removes expired flows, gives up those of a replaced start, and marks the backend server as silent if it has
-// stopped reporting. It reports whether that state changed.
+// Sweep removes expired flows, gives up those of a replaced start, and marks the backend
+// server as silent if it has stopped reporting. It reports whether that state changed.
 func (g *Gate) Sweep(now time.Time) bool {
 	if pause := now.Sub(g.lastRun); pause > maxPause {
 		g.paused += pause
--- a/internal/coordination/gate/start_test.go
+++ b/internal/coordination/gate/start_test.go
@@ -189,6 +189,20 @@
 		b.is.Equal(len(b.gate.Orphans()), 1)
 	})
 
+	t.Run("of two starts that were replaced one after the other", func(t *testing.T) {
+		b := newBackendFixture(t)
+		b.openOldFlow()
+
+		second := b.now.Add(reportInterval)
+		b.report(report(second, 1))
+		b.advance(reportInterval)
+		b.is.Equal(b.report(report(start, 4)), gate.Outdated)
+		b.advance(reportInterval)
+		b.is.Equal(b.report(report(start, 5)), gate.Outdated)
+		b.report(report(second.Add(time.Second), 1))
+		b.is.Equal(b.report(report(start, 6)), gate.Outdated)
+	})
+
 	t.Run("of a start that has announced its end", func(t *testing.T) {
 		b := newBackendFixture(t)
 		b.openOldFlow()
