--- a/internal/coordination/gate/start_test.go
+++ b/internal/coordination/gate/start_test.go
@@ -317,3 +317,105 @@
 		b.is.True(!b.gate.BackendLost(b.now))
 	})
 }
+
+// openOldFlow opens the flow, which the backend server has held for longer than a report
+// can be delayed when it reports again. It leaves the time of that report.
+func (b *backendFixture) openOldFlow() {
+	b.Helper()
+	b.report(report(start, 1))
+	b.openFlow()
+
+	b.now = start.Add(2 * time.Second)
+	b.report(report(start, 3))
+}
+
+// TestReplaced guards against packets of a flow that reach the successor of its
+// backend server at the same address, and against clients that are not told at
+// once that their flow is lost.
+func TestReplaced(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+
+	b.now = b.now.Add(2 * time.Second)
+	b.report(report(b.now, 1))
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+
+	orphans := b.gate.Orphans()
+	b.is.Equal(orphans, []gate.Orphan{{Key: key, Sequence: 5}})
+	b.is.Equal(len(b.gate.Orphans()), 0)
+	b.is.Equal(b.gate.Load(b.now), roster.Load{})
+
+	b.fromClient(requestHeader, gate.Return)
+}
+
+// TestEnded guards against a packet that reaches the successor of its backend
+// server because it arrives before the flow was reset.
+func TestEnded(t *testing.T) {
+	b := newBackendFixture(t)
+	b.openOldFlow()
+
+	b.now = b.now.Add(2 * time.Second)
+	b.report(report(b.now, 1))
+	b.is.Equal(b.fromClient(requestHeader, gate.Reset).Reason, gate.ReasonReplaced)
+	b.fromClient(openHeader, gate.Deliver)
+}
+
+// TestFlowBeforeFirstReport guards against the reset of flows that a backend server has
+// accepted before its first report, while the agent took it for the one before.
+func TestFlowBeforeFirstReport(t *testing.T) {
+	// open lets a backend server crash right after a report. Its successor starts soon
+	// after, and accepts the flow before its first report, an interval later.
+	open := func(t *testing.T) (b *backendFixture, born time.Time) {
+		t.Helper()
+
+		b = newBackendFixture(t)
+		b.now = start.Add(10 * reportInterval)
+		b.report(report(start, 10))
+
+		born = b.now.Add(200 * time.Millisecond)
+		b.now = born.Add(100 * time.Millisecond)
+		b.openFlow()
+		b.now = born.Add(reportInterval)
+
+		return b, born
+	}
+
+	t.Run("is kept", func(t *testing.T) {
+		b, born := open(t)
+		b.is.Equal(b.report(report(born, 1)), gate.Changed)
+		b.is.Equal(len(b.gate.Orphans()), 0)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
+
+		next := requestHeader
+		next.Sequence = requestHeader.End()
+		b.fromClient(next, gate.Deliver)
+		b.fromBackend(answerHeader, gate.ToClient)
+	})
+
+	t.Run("is reset if it was of the crashed one", func(t *testing.T) {
+		b, born := open(t)
+		b.report(report(born, 1))
+
+		next, returned := requestHeader, requestHeader
+		next.Sequence = requestHeader.End()
+		returned.Returned = true
+
+		b.fromClient(next, gate.Deliver)
+		b.is.Equal(b.fromBackend(returned, gate.Reset).Reason, gate.ReasonNotHeld)
+	})
+
+	t.Run("is not stored as one of the crashed one", func(t *testing.T) {
+		b, born := open(t)
+
+		b.now = b.now.Add(minCheckpointAge)
+		_, flows := b.gate.LongLivedFlows(b.now)
+		b.is.Equal(len(flows), 0)
+
+		b.report(report(born, 3))
+		b.fromBackend(answerHeader, gate.ToClient)
+
+		stored, flows := b.gate.LongLivedFlows(b.now)
+		b.is.Equal(stored, born.UnixMilli())
+		b.is.Equal(flows, map[flow.Key]uint32{key: 5})
+	})
+}
