--- a/review/lab-2/deployment.go
+++ b/review/lab-2/deployment.go
@@ -32,6 +32,7 @@
 	heartbeat     = 770 * time.Millisecond
 	configApply   = 3 * time.Second
 	stableWindow  = 4 * time.Second
+	drain         = 3 * time.Second
 	catchUp       = 4 * time.Second
 	recovery      = 12 * time.Second
 	flowWindow    = 2 * time.Second
