--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,7 +1,11 @@
 #!/usr/bin/env bash
-# Plays case 9. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
-# Needs the build of deploy/system.toml and review/build-2.sh.
-here="$(cd "$(dirname "$0")" && pwd)"
-cd "$here/../.." || exit 2
-[ -x target/review-2/lab ] || { echo "review/build-2.sh comes first" >&2; exit 2; }
-exec target/review-2/lab 9 "$here/record.txt"
+# Plays case 9. TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken,
+# 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+folder=$PWD
+cd ../.. || exit 2
+if [[ ! -x target/jayspindle-node || ! -x target/review-2/lab ]]; then
+	echo "the build line of deploy/system.toml and review/build-2.sh come first" >&2
+	exit 2
+fi
+TROUBLE=${TROUBLE:-1} exec target/review-2/lab 9 "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/lab-2"
 mkdir -p ../../target/review-2
-GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review-2/lab .
+GOFLAGS=-mod=mod GOPROXY=off go build -trimpath -o ../../target/review-2/lab .
--- a/review/lab-2/operator.go
+++ b/review/lab-2/operator.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// The addresses of the routes, which are none of the machine's.
+// The addresses of the routes. They stand in the heads of packets only; nothing is sent to them.
 const (
-	deskHost, deskPort = "198.18.0.1", 443
-	linkHost, linkPort = "198.18.0.1", 8443
+	deskHost, deskPort = "127.198.18.1", 443
+	linkHost, linkPort = "127.198.18.1", 8443
 )
 
 func manifest(version uint64) string {
