Log whether a flow that an agent gives up was in use

Its log line could not tell two explanations apart: the flow had been in use at the agent's own backend server, or had only been offered to it. The line now has in_use.

No decision changes.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -118,6 +118,7 @@
 	Accepted  bool          // tell Forwarder that the flow was accepted
 	Found     bool          // tell Forwarder that the backend server holds the flow
 	Reason    Reason
+	InUse     bool // the flow was in use at the backend server, not only offered to it; set with Reason
 }
 
 // Counters count what a Gate has decided.
@@ -210,7 +211,7 @@
 		if !header.Opens() {
 			g.counters.Resets++
 
-			return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonReplaced}
+			return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonReplaced, InUse: h.confirmed}
 		}
 
 		h = nil
@@ -410,7 +411,7 @@
 		// The flow was in use at this backend server, so no other one holds it.
 		g.counters.Resets++
 
-		return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonNotHeld}
+		return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonNotHeld, InUse: true}
 	default:
 		g.counters.Returned++
 
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -279,7 +279,8 @@
 
 	if decision.Reason != gate.ReasonNone {
 		s.logger.Info("did not deliver a packet", "flow", key.String(), "reason", string(decision.Reason),
-			"opens", header.Opens(), "reset", decision.Kind == gate.Reset, "version", s.gate.Version())
+			"opens", header.Opens(), "reset", decision.Kind == gate.Reset, "in_use", decision.InUse,
+			"version", s.gate.Version())
 	}
 }
 
