Return packets of flows that an ended backend server was only offered

Cause: the opening packet waits in the frozen instance while the client's next copy opens the flow at backend server A. The old copy is then offered to B, which accepts it too. When B has ended, its agent took each flow that B had accepted for one that it had held, and reset it at the next packet.

Ruled out: flows in use at B, and resets by an entry instance.

Fix: an agent resets only flows that were in use at the ended backend server, which the server's data or the client's acknowledgement of its acceptance shows. It returns other packets, and the entry instance asks the other agents, among them the one of A.

--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -203,15 +203,17 @@
 	key := header.Key()
 	h := g.flows[key]
 
+	if h != nil {
+		h.confirmByClient(header)
+	}
+
 	// Packets of a flow whose backend server has ended must not reach its
 	// successor at the same address.
 	if h != nil && g.isLost(h) {
 		g.removeFlow(key, h)
 
 		if !header.Opens() {
-			g.counters.Resets++
-
-			return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonReplaced, InUse: h.confirmed}
+			return g.giveUp(h, forwarder, ReasonReplaced)
 		}
 
 		h = nil
@@ -351,7 +353,6 @@
 	if h == nil {
 		// The gate has restarted since the flow was opened.
 		h = g.addFlow(now, key, open)
-		h.confirmed = !header.Accepts()
 	}
 
 	decision := Decision{Kind: ToClient, Forwarder: h.forwarder}
@@ -366,7 +367,9 @@
 	}
 
 	h.state, h.lastPacket, h.backendStart = open, now, g.backend.startMillis
-	if !header.Accepts() {
+	if header.Accepts() {
+		h.accepted, h.acceptSequence = true, header.Sequence
+	} else {
 		h.confirmed = true
 	}
 
@@ -402,21 +405,27 @@
 	forwarder := h.forwarder
 	g.removeFlow(key, h)
 
-	switch {
-	case header.Opens():
+	if header.Opens() {
 		g.counters.Refused++
 
 		return Decision{Kind: Return, Forwarder: forwarder, Reason: ReasonFull}
-	case h.confirmed:
-		// The flow was in use at this backend server, so no other one holds it.
-		g.counters.Resets++
+	}
+
+	return g.giveUp(h, forwarder, ReasonNotHeld)
+}
 
-		return Decision{Kind: Reset, Forwarder: forwarder, Reason: ReasonNotHeld, InUse: true}
-	default:
-		g.counters.Returned++
+// giveUp decides about a packet of a flow that the backend server no longer holds. If the
+// flow was only offered to it, another one may hold the flow.
+func (g *Gate) giveUp(h *trackedFlow, forwarder flow.Endpoint, reason Reason) Decision {
+	if h.confirmed {
+		g.counters.Resets++
 
-		return Decision{Kind: Return, Forwarder: forwarder, Reason: ReasonNotHeld}
+		return Decision{Kind: Reset, Forwarder: forwarder, Reason: reason, InUse: true}
 	}
+
+	g.counters.Returned++
+
+	return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
 }
 
 // uptime returns for how long the gate has run.
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -47,14 +47,10 @@
 	h := g.flows[key]
 
 	switch {
-	case h != nil && h.state == open && !g.isLost(h):
-		return flow.Held
-	case h != nil && h.state == opening:
-		return flow.Unsure
-	case h == nil && !g.mayHoldUnseenFlows(now):
+	case h != nil && g.isLost(h), h == nil && !g.mayHoldUnseenFlows(now):
 		return flow.Absent
 	case h != nil && h.state == open:
-		return flow.Absent // held by a backend server that has ended
+		return flow.Held
 	default:
 		return flow.Unsure
 	}
