Let a controller that stops leave the group before it is gone

Cause: with the successor the group has six voters. The one that stops hands over its leadership, but counts towards the majority until it has been silent for 2.5 s. Three of six replicas are left then, one less than a majority.

Evidence: the logs of a run show six voters before the stop and no further change of the membership; the three replicas that are left have the document. Ruled out: an acceptance by too few replicas, and a successor that had not joined (it voted 7 s before). With 5 s between stop and loss the case held.

Fix: a controller that stops announces it, and answers until the leader has committed its removal. If the group cannot spare it, it stays a member and stops at once, so rolling restarts of 2f+1 controllers take no longer. The leader remembers the announcement for 2.5 s, for a successor that becomes a voter only after the stop. A controller that returns with its disk is added again. Metrics have the number of voters.

Left: a controller that is lost without SIGTERM while its successor votes.

--- a/internal/program/registry/members.go
+++ b/internal/program/registry/members.go
@@ -23,6 +23,9 @@
 	// voter stays until there are enough others.
 	replaceDelay = 2500 * time.Millisecond
 
+	// leaveInterval is how often a replica that stops repeats that it does.
+	leaveInterval = 50 * time.Millisecond
+
 	// membershipInterval is the minimum time between two attempts to change the
 	// membership.
 	membershipInterval = 50 * time.Millisecond
@@ -31,11 +34,23 @@
 // membershipState is what a leader tracks about the members.
 type membershipState struct {
 	lastCheck   time.Time
+	lastChange  uint64                      // index of the last change that was proposed
 	silentSince map[wal.ReplicaID]time.Time // since when a member has not answered
+	leavingAt   map[wal.ReplicaID]time.Time // when a member has last said that it stops
 }
 
 func newMembershipState() membershipState {
-	return membershipState{silentSince: make(map[wal.ReplicaID]time.Time)}
+	return membershipState{
+		silentSince: make(map[wal.ReplicaID]time.Time), leavingAt: make(map[wal.ReplicaID]time.Time),
+	}
+}
+
+// isLeaving reports whether a member has announced that it stops. Later its silence
+// tells whether it has started again.
+func (m *membershipState) isLeaving(now time.Time, id wal.ReplicaID) bool {
+	at, ok := m.leavingAt[id]
+
+	return ok && now.Sub(at) <= replaceDelay
 }
 
 // minVoters is the number of voters that still leaves a majority after the
@@ -82,11 +97,16 @@
 	silentSince := make(map[wal.ReplicaID]time.Time, len(members))
 
 	for _, member := range members {
+		since, ok := m.silentSince[member.ID]
+
 		if member.Responsive {
+			if ok {
+				delete(m.leavingAt, member.ID) // it has started again
+			}
+
 			continue
 		}
 
-		since, ok := m.silentSince[member.ID]
 		if !ok {
 			since = now
 		}
@@ -100,7 +120,7 @@
 // nextChange returns the next membership change, and false if none is due.
 func (o *owner) nextChange(now time.Time, status raft.Status) (raft.Change, bool) {
 	for _, member := range status.Members {
-		if member.Learner && member.Responsive && member.Match > 0 {
+		if member.Learner && member.Responsive && member.Match > 0 && !o.membership.isLeaving(now, member.ID) {
 			return raft.Change{Kind: raft.ChangePromote, Member: member.Member}, true
 		}
 	}
@@ -115,21 +135,29 @@
 }
 
 // isReplaceable reports whether a member can be removed. A voter stays until
-// there are enough others, so that an accepted document never loses copies.
+// there are enough others, so that an accepted document never loses copies. One that
+// has announced its stop is removed before it stops: it may not come back, and a voter
+// that is gone still counts towards the majority.
 func (o *owner) isReplaceable(now time.Time, member raft.MemberStatus, members []raft.MemberStatus) bool {
 	since, silent := o.membership.silentSince[member.ID]
-	if !silent {
+	leaving := o.membership.isLeaving(now, member.ID)
+
+	if !silent && !leaving {
 		return false
 	}
 
 	if member.Learner {
-		return now.Sub(since) > replaceDelay
+		return leaving || now.Sub(since) > replaceDelay
 	}
 
 	if countVoters(members) <= o.minVoters() {
 		return false
 	}
 
+	if leaving {
+		return true
+	}
+
 	for _, other := range members {
 		// An instance runs one replica: the older one at this address has lost its disk.
 		if other.ID != member.ID && other.Address == member.Address && !other.Learner && other.Responsive {
@@ -141,7 +169,7 @@
 }
 
 func (o *owner) proposeChange(change raft.Change) {
-	_, _, err := o.node.ChangeMembership(change)
+	index, _, err := o.node.ChangeMembership(change)
 
 	var failed *raft.Error
 	if errors.As(err, &failed) {
@@ -150,6 +178,7 @@
 		return
 	}
 
+	o.membership.lastChange = index
 	o.logger.Info("changes the membership", "kind", change.Kind, "replica", change.Member.ID.String(),
 		"address", change.Member.Address)
 }
@@ -188,6 +217,10 @@
 		err = o.handleJoinRequest(from, body)
 	case wire.KindJoinReply:
 		err = o.handleJoinReply(now, body)
+	case wire.KindLeave:
+		err = o.handleLeave(now, from, body)
+	case wire.KindLeaveReply:
+		o.finishLeave()
 	}
 
 	if err != nil {
@@ -216,7 +249,7 @@
 // requestJoin asks the group to add this replica if it belongs to none, or may
 // have been removed.
 func (o *owner) requestJoin(now time.Time) {
-	if o.log == nil || now.Sub(o.lastJoinRequest) < joinRequestInterval {
+	if o.log == nil || o.leaveDone != nil || now.Sub(o.lastJoinRequest) < joinRequestInterval {
 		return
 	}
 
@@ -233,6 +266,11 @@
 		return
 	}
 
+	o.sendToControllers(message)
+}
+
+// sendToControllers sends a message to all controllers that this one knows.
+func (o *owner) sendToControllers(message []byte) {
 	for _, controller := range append(o.settings.Seeds(), o.published.Load().controllers...) {
 		if controller == o.self {
 			continue
@@ -259,12 +297,15 @@
 		id := wal.ReplicaID(request.Replica)
 
 		if !slices.ContainsFunc(status.Members, func(m raft.MemberStatus) bool { return m.ID == id }) {
-			if _, _, err := o.node.ChangeMembership(raft.Change{
+			index, _, err := o.node.ChangeMembership(raft.Change{
 				Kind: raft.ChangeAddLearner, Member: raft.Member{ID: id, Address: from.String()},
-			}); err != nil {
+			})
+			if err != nil {
 				return err // the replica asks again
 			}
 
+			o.membership.lastChange = index
+			delete(o.membership.leavingAt, id)
 			o.logger.Info("adds a replica", "replica", id.String(), "address", from)
 		}
 
@@ -310,7 +351,7 @@
 
 // transferLeadership transfers the leadership, and closes done once another
 // replica leads.
-func (o *owner) transferLeadership(_ time.Time, done chan struct{}) {
+func (o *owner) transferLeadership(done chan struct{}) {
 	if o.node == nil || o.node.TransferLeadership(0) != nil {
 		close(done) // there is no leadership to transfer
 
@@ -328,3 +369,81 @@
 	close(o.transferDone)
 	o.transferDone = nil
 }
+
+// leave tells the group that this replica stops, and closes done once the group can do
+// without it.
+func (o *owner) leave(done chan struct{}) {
+	o.leaveDone = done
+	o.requestLeave(time.Now())
+}
+
+// requestLeave repeats that this replica stops until the leader has answered. If the group
+// cannot spare it, the replica remains a member and stops at once.
+func (o *owner) requestLeave(now time.Time) {
+	if o.leaveDone == nil || now.Sub(o.lastLeave) < leaveInterval {
+		return
+	}
+
+	if o.node == nil || o.log == nil || o.node.Status().Role == raft.Leader {
+		o.finishLeave()
+
+		return
+	}
+
+	o.lastLeave = now
+
+	message, err := wire.Encode(wire.KindLeave, wire.Leave{Replica: uint64(o.log.Identity().Replica)})
+	if err != nil {
+		o.logger.Error("could not encode a leave request", "error", err)
+		o.finishLeave()
+
+		return
+	}
+
+	o.sendToControllers(message)
+
+	if countVoters(o.node.Status().Members) <= o.minVoters() {
+		o.finishLeave()
+	}
+}
+
+// handleLeave answers a replica that stops if this one leads and the other has been
+// removed, or cannot be removed because there are not enough other voters.
+func (o *owner) handleLeave(now time.Time, from netip.AddrPort, body []byte) error {
+	request, err := wire.Decode[wire.Leave](body)
+	if err != nil || o.node == nil {
+		return err
+	}
+
+	status := o.node.Status()
+	if !status.CanServe {
+		return nil
+	}
+
+	id, voters := wal.ReplicaID(request.Replica), countVoters(status.Members)
+
+	if slices.ContainsFunc(status.Members, func(m raft.MemberStatus) bool { return m.ID == id }) {
+		if !o.membership.isLeaving(now, id) {
+			o.logger.Info("a member announced that it stops", "replica", id.String(), "address", from, "voters", voters)
+		}
+
+		o.membership.leavingAt[id] = now
+
+		if voters > o.minVoters() {
+			return nil // it is removed first
+		}
+	} else if o.appliedIndex < o.membership.lastChange {
+		return nil // the removal is not committed
+	}
+
+	return o.conn.Send(from, []byte{byte(wire.KindLeaveReply)})
+}
+
+func (o *owner) finishLeave() {
+	if o.leaveDone == nil {
+		return
+	}
+
+	close(o.leaveDone)
+	o.leaveDone = nil
+}
--- a/internal/program/registry/owner.go
+++ b/internal/program/registry/owner.go
@@ -64,6 +64,8 @@
 	lastReadID      uint64
 	membership      membershipState
 	transferDone    chan struct{}
+	leaveDone       chan struct{} // not nil while the replica is leaving the group
+	lastLeave       time.Time     // last message that it is leaving
 	leading         bool
 	lastJoinRequest time.Time // last request to be added to the group
 	lastLeaderSeen  time.Time // last time that a leader was known
@@ -129,6 +131,7 @@
 	}
 
 	o.requestJoin(now)
+	o.requestLeave(now)
 	o.finishTransfer()
 	o.expireProposals(now)
 }
@@ -284,6 +287,7 @@
 		status := o.node.Status()
 		current.hasLeader = status.Leader != 0
 		current.controllers = endpoints(status.Members)
+		current.voters = countVoters(status.Members)
 
 		if current.hasLeader {
 			o.lastLeaderSeen = now
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -129,6 +129,7 @@
 	version     uint64
 	encoded     []byte // route.Document
 	controllers []flow.Endpoint
+	voters      int  // of the controllers
 	hasLeader   bool // a leader is known
 }
 
@@ -175,7 +176,7 @@
 }
 
 // Run runs the controller until ctx ends. A leader transfers its leadership
-// first.
+// first, and a controller that the group can spare leaves it.
 func (r *Registry) Run(ctx context.Context) error {
 	running, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	tasks := group.New(stop)
@@ -189,6 +190,7 @@
 	select {
 	case <-ctx.Done():
 		r.transferLeadership()
+		r.leave()
 	case <-running.Done():
 	}
 
@@ -210,6 +212,7 @@
 	Version         uint64          `json:"version"` // of the document in force
 	Agents          int             `json:"agents"`
 	Controllers     int             `json:"controllers"` // members of the group
+	Voters          int             `json:"voters"`      // of the members
 	HasLeader       bool            `json:"led"`         // a leader is known
 	Accepted        latency.Summary `json:"accepted"`    // time until a document was accepted
 	Malformed       uint64          `json:"malformed"`
@@ -222,7 +225,8 @@
 	current := r.published.Load()
 
 	return Metrics{
-		Version: current.version, Agents: r.Agents(), Controllers: len(current.controllers), HasLeader: current.hasLeader,
+		Version: current.version, Agents: r.Agents(), Controllers: len(current.controllers),
+		Voters: current.voters, HasLeader: current.hasLeader,
 		Accepted: r.acceptLatency.Summary(), Malformed: r.conn.Dropped(),
 		Overflow: r.droppedMessages.Load() + r.checkpoints.droppedBatches.Load(), CheckpointBytes: r.checkpoints.bytes(),
 	}
@@ -233,17 +237,29 @@
 const transferTimeout = 800 * time.Millisecond
 
 func (r *Registry) transferLeadership() {
+	r.awaitOwner(transferTimeout, (*owner).transferLeadership)
+}
+
+// leaveTimeout is how long a controller that stops waits until the group no longer
+// needs it: an election, if the leader is lost at the same time, and a few round trips.
+const leaveTimeout = 1500 * time.Millisecond
+
+func (r *Registry) leave() { r.awaitOwner(leaveTimeout, (*owner).leave) }
+
+// awaitOwner lets the owner begin something that takes a while, and waits until it closes
+// done.
+func (r *Registry) awaitOwner(timeout time.Duration, begin func(o *owner, done chan struct{})) {
 	done := make(chan struct{})
 
 	select {
-	case r.events <- func(o *owner, now time.Time) { o.transferLeadership(now, done) }:
+	case r.events <- func(o *owner, _ time.Time) { begin(o, done) }:
 	default:
-		return // the owner is blocked, so it no longer leads
+		return // the owner is blocked, so it neither leads nor answers
 	}
 
 	select {
 	case <-done:
-	case <-time.After(transferTimeout):
+	case <-time.After(timeout):
 	}
 }
 
@@ -261,7 +277,7 @@
 		err = r.handlePoll(from, body)
 	case wire.KindFetch:
 		err = r.handleFetch(from, body)
-	case wire.KindReplicate, wire.KindJoin, wire.KindJoinReply:
+	case wire.KindReplicate, wire.KindJoin, wire.KindJoinReply, wire.KindLeave, wire.KindLeaveReply:
 		r.enqueue(from, kind, append([]byte(nil), body...))
 	case wire.KindCheckpoint:
 		r.checkpoints.enqueue(from, body)
--- a/internal/protocol/wire/fuzz_test.go
+++ b/internal/protocol/wire/fuzz_test.go
@@ -38,6 +38,7 @@
 		}},
 		{wire.KindFetch, wire.Fetch{Above: 3}},
 		{wire.KindJoin, wire.Join{Replica: 3}},
+		{wire.KindLeave, wire.Leave{Replica: 3}},
 		{wire.KindJoinReply, wire.JoinReply{Cluster: 1, Controllers: []flow.Endpoint{key.Service}}},
 		{wire.KindRestore, wire.Restore{Agent: key.Client}},
 	} {
@@ -84,6 +85,8 @@
 		decode[wire.Fetch](body)
 	case wire.KindJoin:
 		decode[wire.Join](body)
+	case wire.KindLeave:
+		decode[wire.Leave](body)
 	case wire.KindJoinReply:
 		decode[wire.JoinReply](body)
 	case wire.KindRestore:
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -49,6 +49,8 @@
 	KindRestoreReply                 // the checkpoint batches of the agent, concatenated
 	KindDeclined                     // Declined, to an entry instance
 	KindPointer                      // Pointer, between entry instances and agents
+	KindLeave                        // Leave, to a controller
+	KindLeaveReply                   // no body: the sender of a Leave can stop
 )
 
 // ErrorKind classifies an Error.
@@ -140,6 +142,11 @@
 	Controllers []flow.Endpoint `cbor:"3,keyasint"`
 }
 
+// Leave tells a controller that the sender stops, perhaps for good.
+type Leave struct {
+	Replica uint64 `cbor:"1,keyasint"`
+}
+
 const (
 	loadBytes = 5
 	idBytes   = 4
