Let controllers tell an agent whether it is the first at its address

Cause: an agent denies flows that it has not seen if its backend server is younger than itself. For a young server it compared two wall clocks, and a clock that is set in between makes the older one look younger.

Ruled out: flows lost with the agent (the record has them open at the server), and the kill alone (all are served).

Fix: controllers hear all agents, so their answers to polls tell how long ago they heard of an earlier agent at the address, and for how long they can tell. The number of the first report limits the age of the server without a clock. An agent has seen all flows if no controller has heard of an earlier agent since then and one has listened for that long. A controller that was paused, suspended or restarted, or has no group, vouches for less. For 3 s all controllers answer an agent that has started.

Left: a kill of all processes, controllers included, in the first 0.8 s of a server whose clock is set back meanwhile.

Tests: TestClockSetBackBeforeRestart failed before (answer 'absent'). TestKnows had cases by the clock that are wrong now: a first agent may know all flows whatever the clock says; each is replaced by one that tells which predecessor the controllers know, and the restarted agents of the other tests have one.

--- a/internal/coordination/gate/backend.go
+++ b/internal/coordination/gate/backend.go
@@ -19,16 +19,16 @@
 
 // backend is the last known state of the backend server.
 type backend struct {
-	state         backendState
-	id            string
-	startMillis   int64
-	sequence      uint64
-	slots         uint16
-	coldUntil     time.Time
-	lastReport    time.Time
-	reports       int  // of this start
-	seenFromStart bool // the gate has seen every flow since this start
-	replaced      replacedStart
+	state       backendState
+	id          string
+	startMillis int64
+	sequence    uint64
+	slots       uint16
+	coldUntil   time.Time
+	lastReport  time.Time
+	reports     int // of this start
+	origin      origin
+	replaced    replacedStart
 }
 
 // Report applies a status report of the backend server. It refuses a report that cannot
@@ -121,10 +121,6 @@
 	return g.backend.id, g.backend.startMillis, g.backend.sequence
 }
 
-// SeenFromStart reports whether the gate has seen every flow of the current start of the
-// backend server.
-func (g *Gate) SeenFromStart() bool { return g.backend.seenFromStart }
-
 // MarkEnded records that the backend server has ended. A startMillis of 0 means
 // that its start is not known.
 func (g *Gate) MarkEnded(now time.Time, id string, startMillis int64) (Outcome, error) {
--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -73,6 +73,14 @@
 	// backend server, ended and started again within the tolerance.
 	startTolerance = 100 * time.Millisecond
 
+	// predecessorDelay is how long after the first controller the others may answer: three
+	// polls of an agent that has just started.
+	predecessorDelay = 150 * time.Millisecond
+
+	// maxCounted limits the sequence numbers that tell the age of a backend server. It
+	// keeps the product with the interval within a Duration.
+	maxCounted = 1 << 20
+
 	// learningWindow is how long after the start of a gate its backend server may
 	// hold flows that the gate has not seen: the longest lifetime of a flow in
 	// the deployments.
@@ -142,6 +150,7 @@
 	config          Config
 	table           *route.Table
 	backend         backend
+	predecessors    predecessors
 	outdated        newest.Series[int64] // of reports, by their start
 	flows           map[flow.Key]*trackedFlow
 	checkpointDue   bool // the checkpoint of a flow is outdated
--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -21,6 +21,13 @@
 	}
 )
 
+// noPredecessor and restarted are what the controllers tell an agent that is the first at its
+// address, and one that has just been restarted.
+var (
+	noPredecessor = roster.Predecessor{Listening: roster.Memory}
+	restarted     = roster.Predecessor{Listening: roster.Memory, SinceHeard: 300 * time.Millisecond}
+)
+
 const (
 	reportInterval   = 770 * time.Millisecond
 	minCheckpointAge = time.Second // from which a flow is stored
@@ -51,8 +58,17 @@
 func newBackendFixture(t *testing.T) *backendFixture {
 	t.Helper()
 
+	return newFixtureWith(t, noPredecessor)
+}
+
+// newFixtureWith returns a gate that has just started, with what a controller tells about
+// earlier agents at its address.
+func newFixtureWith(t *testing.T, found roster.Predecessor) *backendFixture {
+	t.Helper()
+
 	g := gate.New(gate.Config{Service: "desk", Boot: start, ReportInterval: reportInterval}, func(time.Duration) {})
 	g.SetTable(table(t, 1, "desk"))
+	g.ObservePredecessor(start, found)
 
 	return &backendFixture{T: t, is: is.New(t), now: start, gate: g}
 }
@@ -274,7 +290,7 @@
 // TestRestart guards against flows that are lost when the agent restarts while
 // the backend server keeps running.
 func TestRestart(t *testing.T) {
-	b := newBackendFixture(t)
+	b := newFixtureWith(t, restarted)
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 
 	b.report(report(start.Add(-time.Minute), 70))
@@ -289,7 +305,7 @@
 // TestRestartBeforeReport guards against the reset of flows whose packets reach a
 // restarted agent before the first report of the backend server (soak seed 2009).
 func TestRestartBeforeReport(t *testing.T) {
-	b := newBackendFixture(t)
+	b := newFixtureWith(t, restarted)
 	b.fromClient(requestHeader, gate.Deliver)
 	b.fromBackend(answerHeader, gate.ToClient)
 
@@ -303,7 +319,7 @@
 // backend server does not hold it, and against its reset while another backend
 // server may hold it.
 func TestRestartNotHeld(t *testing.T) {
-	b := newBackendFixture(t)
+	b := newFixtureWith(t, restarted)
 	b.report(report(start.Add(-time.Minute), 70))
 	b.fromClient(requestHeader, gate.Deliver)
 
@@ -328,52 +344,98 @@
 }
 
 // TestKnows guards against needlessly inconclusive searches: an agent that is older than
-// its backend server knows all of its flows. It also guards against the denial of flows
-// that an earlier start of the agent has passed on.
+// its backend server, or the first at its address, knows all of its flows. It also guards
+// against the denial of flows that an earlier start of the agent has passed on, whatever the
+// wall clocks say.
 func TestKnows(t *testing.T) {
 	const (
 		yes = flow.Absent
 		no  = flow.Unsure
+
+		soon = 100 * time.Millisecond // uptime of the agent at the first report
+	)
+
+	var (
+		longGone     = roster.Predecessor{Listening: roster.Memory, SinceHeard: 3 * time.Second}
+		newListener  = roster.Predecessor{Listening: time.Second}
+		notListening = roster.Predecessor{}
 	)
 
 	for name, test := range map[string]struct {
-		uptime   time.Duration // of the agent
-		age      time.Duration // of the backend server, by the wall clock
-		sequence uint64
-		warmUp   time.Duration
-		want     flow.Answer
+		uptime      time.Duration // of the agent
+		age         time.Duration // of the backend server, by the wall clock
+		sequence    uint64
+		predecessor roster.Predecessor
+		want        flow.Answer
 	}{
-		"started with the agent, counts from 0":       {100 * time.Millisecond, 90 * time.Millisecond, 0, 0, yes},
-		"started with the agent, counts from 1":       {100 * time.Millisecond, 90 * time.Millisecond, 1, 0, yes},
-		"started just before the agent":               {100 * time.Millisecond, 130 * time.Millisecond, 1, 0, yes},
-		"first report, older than the agent":          {100 * time.Millisecond, 800 * time.Millisecond, 0, 0, no},
-		"second report, older than the agent":         {100 * time.Millisecond, 800 * time.Millisecond, 1, 0, no},
-		"first reports to the agent were lost":        {9 * reportInterval, 5 * reportInterval, 5, 0, yes},
-		"older than the agent":                        {5 * reportInterval, 7 * reportInterval, 7, 0, no},
-		"reported long before the agent started":      {5 * reportInterval, time.Hour, 5000, 0, no},
-		"clock ahead, but called once at most":        {5 * reportInterval, time.Hour, 1, 0, yes},
-		"clock behind, but called once at most":       {5 * reportInterval, -time.Hour, 1, 0, yes},
-		"clock set back since the start":              {100 * time.Millisecond, -2 * time.Second, 1, 0, no},
-		"clock set back to the start of the agent":    {100 * time.Millisecond, 50 * time.Millisecond, 3, 0, no},
-		"high sequence number":                        {50 * time.Second, time.Hour, 1 << 40, 0, no},
-		"clock ahead, and the agent has just started": {100 * time.Millisecond, time.Hour, 1, 0, no},
-		"started with the agent, called it in vain":   {100 * time.Millisecond, 130 * time.Millisecond, 3, time.Second, yes},
-		"still cold, older than the agent":            {100 * time.Millisecond, 400 * time.Millisecond, 1, time.Second, no},
-		"still cold, clock set back since the start":  {100 * time.Millisecond, -2 * time.Second, 1, time.Second, no},
+		"first agent, counts from 0":                  {soon, soon, 0, noPredecessor, yes},
+		"first agent, counts from 1":                  {soon, soon, 1, noPredecessor, yes},
+		"first agent, called in vain before":          {soon, soon, 3, noPredecessor, yes},
+		"first agent, clock ahead":                    {soon, time.Hour, 1, noPredecessor, yes},
+		"first agent, clock set back":                 {soon, -2 * time.Second, 1, noPredecessor, yes},
+		"first agent, but for how long is not known":  {soon, soon, 20, noPredecessor, no},
+		"new controllers, clock shows an older start": {soon, 800 * time.Millisecond, 1, newListener, no},
+		"new controllers, third report":               {soon, soon, 3, newListener, no},
+		"new controllers, clock ahead":                {soon, time.Hour, 1, newListener, no},
+		"new controllers, clock set back":             {soon, -2 * time.Second, 1, newListener, no},
+		"first agent of a controller without a group": {soon, soon, 1, notListening, no},
+		"address used again":                          {soon, soon, 1, longGone, yes},
+		"address used again, older backend server":    {soon, soon, 3, longGone, no},
+		"restarted, first report":                     {soon, 800 * time.Millisecond, 0, restarted, no},
+		"restarted, second report":                    {soon, 800 * time.Millisecond, 1, restarted, no},
+		"restarted, clock set back to its start":      {soon, 50 * time.Millisecond, 1, restarted, no},
+		"restarted, third report":                     {soon, 50 * time.Millisecond, 3, restarted, no},
+		"restarted, clock set back since":             {soon, -2 * time.Second, 1, restarted, no},
+		"restarted, clock ahead":                      {soon, time.Hour, 1, restarted, no},
+		"first reports to the agent were lost":        {9 * reportInterval, 5 * reportInterval, 5, restarted, yes},
+		"older than the agent":                        {5 * reportInterval, 7 * reportInterval, 7, restarted, no},
+		"reported long before the agent started":      {5 * reportInterval, time.Hour, 5000, restarted, no},
+		"clock ahead, but called once at most":        {5 * reportInterval, time.Hour, 1, restarted, yes},
+		"clock behind, but called once at most":       {5 * reportInterval, -time.Hour, 1, restarted, yes},
+		"high sequence number":                        {50 * time.Second, time.Hour, 1 << 40, restarted, no},
+		"high sequence number, first agent":           {50 * time.Second, time.Hour, 1 << 40, noPredecessor, no},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBackendFixture(t)
+			b := newFixtureWith(t, test.predecessor)
 			b.advance(test.uptime)
-
-			first := report(b.now.Add(-test.age), test.sequence)
-			first.WarmUpRemaining = test.warmUp
-			b.report(first)
+			b.report(report(b.now.Add(-test.age), test.sequence))
+			b.advance(2 * soon)
+			b.gate.ObservePredecessor(b.now, test.predecessor)
 			b.is.Equal(b.gate.Locate(b.now, key), test.want)
 		})
 	}
 
+	t.Run("controllers have started with the agent", func(t *testing.T) {
+		b := newFixtureWith(t, newListener)
+		b.advance(soon)
+		b.report(report(b.now.Add(-130*time.Millisecond), 1))
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure) // the others may not have answered
+
+		b.advance(2 * soon)
+		b.gate.ObservePredecessor(b.now, newListener)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+
+		b.gate.ObservePredecessor(b.now, restarted)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+	})
+
+	t.Run("controllers answer after the first report", func(t *testing.T) {
+		b := newFixtureWith(t, notListening)
+		b.advance(soon)
+		b.report(report(b.now, 1))
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+
+		b.gate.ObservePredecessor(b.now, noPredecessor)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+
+		// One controller that has heard of a predecessor outweighs those that have not.
+		b.gate.ObservePredecessor(b.now, restarted)
+		b.gate.ObservePredecessor(b.now, noPredecessor)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+	})
+
 	t.Run("no backend server", func(t *testing.T) {
-		b := newBackendFixture(t)
+		b := newFixtureWith(t, restarted)
 		b.advance(4 * reportInterval)
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 	})
@@ -392,6 +454,7 @@
 		Service: "desk", Boot: start.Add(reportInterval / 2), ReportInterval: reportInterval,
 	}, func(time.Duration) {})
 	b.now = start.Add(reportInterval)
+	b.gate.ObservePredecessor(b.now, restarted)
 	b.report(report(born, 1))
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 	b.fromClient(requestHeader, gate.Deliver)
@@ -399,10 +462,23 @@
 	b.is.Equal(b.gate.Locate(b.now, key), flow.Held)
 }
 
+// TestClockSetBackBeforeRestart guards against the denial, and so the reset, of open flows by
+// a restarted agent after its machine's clock was set back while the backend server was cold:
+// the start time made the backend server look younger than the agent.
+func TestClockSetBackBeforeRestart(t *testing.T) {
+	b := newFixtureWith(t, restarted)
+	b.advance(186 * time.Millisecond)
+
+	third := report(b.now.Add(-43*time.Millisecond), 3)
+	third.WarmUpRemaining = 457 * time.Millisecond
+	b.report(third)
+	b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
+}
+
 // TestLateReportAfterRestart guards against the denial of flows by a restarted agent that
 // gets a delayed report of an ended backend server before the one of its successor.
 func TestLateReportAfterRestart(t *testing.T) {
-	b := newBackendFixture(t)
+	b := newFixtureWith(t, restarted)
 	b.now = start.Add(100 * time.Millisecond)
 	b.report(report(start.Add(-time.Minute), 70))
 	b.report(report(start.Add(-reportInterval/2), 1))
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -69,6 +69,6 @@
 		// A late announcement is of an earlier start.
 		return g.backend.reports == 0 && uptime < g.maxReportGap()
 	default:
-		return !g.backend.seenFromStart && uptime < learningWindow
+		return !g.SeenFromStart() && uptime < learningWindow
 	}
 }
--- a/internal/coordination/gate/start.go
+++ b/internal/coordination/gate/start.go
@@ -1,14 +1,18 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"jayspindle/internal/state/roster"
+)
 
 // replacedStart is the start before the current one while it may still run. The report
 // that replaced it may have a wrong start time, so its flows are kept for the time being.
 type replacedStart struct {
-	startMillis   int64 // zero if there is none
-	lastReport    time.Time
-	seenFromStart bool
-	leaving       bool
+	startMillis int64 // zero if there is none
+	lastReport  time.Time
+	origin      origin
+	leaving     bool
 }
 
 // maxReportDelay is how old a report can be when it arrives: the backend server waits a
@@ -34,13 +38,13 @@
 	}
 
 	replaced := replacedStart{
-		startMillis: b.startMillis, lastReport: b.lastReport, seenFromStart: b.seenFromStart, leaving: b.state == leaving,
+		startMillis: b.startMillis, lastReport: b.lastReport, origin: b.origin, leaving: b.state == leaving,
 	}
 	if b.state == ended {
 		replaced = replacedStart{}
 	}
 
-	*b = backend{startMillis: report.StartMillis, seenFromStart: g.sawStart(now, report), replaced: replaced}
+	*b = backend{startMillis: report.StartMillis, origin: g.newOrigin(now, report), replaced: replaced}
 	g.health = health{}
 	g.refresh(now, report)
 	g.expireReplaced(now)
@@ -58,7 +62,7 @@
 		}
 	}
 
-	resumed := backend{startMillis: report.StartMillis, seenFromStart: b.replaced.seenFromStart}
+	resumed := backend{startMillis: report.StartMillis, origin: b.replaced.origin}
 	if b.replaced.leaving {
 		resumed.state = leaving
 	}
@@ -76,25 +80,88 @@
 	}
 }
 
-// sawStart reports whether the gate has seen every flow of the start that is reported:
-// the backend server started after the gate. There are two proofs.
+// origin is what the first report of a start tells about its age.
+type origin struct {
+	earliest time.Time // when it may have started at the earliest
+	seen     bool      // it started after the gate
+	byClock  bool      // the wall clock says so, which may have been set meanwhile
+}
+
+// newOrigin limits the age of a start by the sequence number of its first report: numbers
+// begin at 0 or later and increase with each call, and at most maxReportGap passes
+// between two calls.
+func (g *Gate) newOrigin(now time.Time, report Report) origin {
+	calls, uptime := min(report.Sequence, maxCounted)+1, max(0, g.uptime(now))
+	age := now.Sub(time.UnixMilli(report.StartMillis))
+
+	return origin{
+		earliest: now.Add(-time.Duration(calls) * g.maxReportGap()),
+		seen:     calls <= uint64(uptime/g.maxReportGap()),
+		byClock:  report.Sequence <= 1 && age >= -startTolerance && age <= uptime+startTolerance,
+	}
+}
+
+// predecessors is what the controllers have told about agents that had the address of this
+// one before it started.
+type predecessors struct {
+	heard       time.Time // last announcement of a predecessor; zero if none is known
+	excluded    time.Time // a controller has heard of all agents since then
+	firstAnswer time.Time // of a controller that would know of one by now; zero if none has answered
+	lastAnswer  time.Time
+}
+
+// ObservePredecessor applies what a controller tells about earlier agents at the address of
+// this one.
+func (g *Gate) ObservePredecessor(now time.Time, found roster.Predecessor) {
+	p := &g.predecessors
+
+	if heard := now.Add(-found.SinceHeard); found.SinceHeard > 0 && heard.After(p.heard) {
+		p.heard = heard
+	}
+
+	if found.Listening == 0 {
+		return
+	}
+
+	since := now.Add(-found.Listening)
+	if p.firstAnswer.IsZero() {
+		p.firstAnswer, p.excluded = now, since
+	}
+
+	p.lastAnswer = now
+
+	if since.Before(p.excluded) {
+		p.excluded = since
+	}
+}
+
+// answered reports whether the controllers have had the time to tell of a predecessor.
+func (p *predecessors) answered() bool { return p.lastAnswer.Sub(p.firstAnswer) >= predecessorDelay }
+
+// SeenFromStart reports whether the gate has seen every flow of the current start of the
+// backend server. There are three proofs.
+//
+// The number of its first report shows that it started after the gate.
 //
-// Sequence numbers begin at 0 or later and increase with each call, and at most
-// maxReportGap passes between two calls. So the number limits the age, whatever the
-// clocks say.
+// The controllers have heard of no earlier agent at this address since it may have
+// started, so nobody else has passed packets to it. They answer soon after the gate has
+// started.
 //
-// Where the gate is younger than that limit, the start time has to show it. The wall
-// clock may have been set back in between, so this counts only for the first calls, or
-// while the backend server is still cold.
-func (g *Gate) sawStart(now time.Time, report Report) bool {
-	uptime := g.uptime(now)
-	if report.Sequence < uint64(max(0, uptime)/g.maxReportGap()) {
+// Controllers that have started later than that, after a loss of power everywhere, cannot
+// tell. Unless one of them knows better, the start time counts, for the first calls only:
+// the wall clock may have been set in between.
+func (g *Gate) SeenFromStart() bool {
+	p, o := &g.predecessors, &g.backend.origin
+
+	if o.seen {
 		return true
 	}
 
-	age := now.Sub(time.UnixMilli(report.StartMillis))
+	if p.firstAnswer.IsZero() || !p.heard.Before(o.earliest) {
+		return false
+	}
 
-	return (report.Sequence <= 1 || report.WarmUpRemaining > 0) && age >= -startTolerance && age <= uptime+startTolerance
+	return !p.excluded.After(o.earliest) || (o.byClock && p.answered())
 }
 
 // maxReportGap is the longest time between two calls of a running backend server: it
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -43,6 +43,11 @@
 	// a deployment starts and notifications about many agents arrive together.
 	minPollInterval = 30 * time.Millisecond
 
+	// introductionTime is how long after its start an agent is answered by all controllers,
+	// which tell whether an earlier agent had its address. Longer ago, an earlier one does
+	// not matter: see gate.Gate.ObservePredecessor.
+	introductionTime = 3 * time.Second
+
 	// fetchRetryInterval is how long a requested document may take to arrive before
 	// it is requested again. 256 KB take 0.5 s on the slowest link in use.
 	fetchRetryInterval = 250 * time.Millisecond
@@ -75,12 +80,16 @@
 	WantsAgents bool
 	// Announce returns the record that an agent publishes; nil for other instances.
 	Announce func(now time.Time) roster.Record
-	Logger   *slog.Logger
+	// Predecessor is called with what a controller tells about earlier agents at the
+	// address of the announced one; nil if nothing is announced.
+	Predecessor func(now time.Time, found roster.Predecessor)
+	Logger      *slog.Logger
 }
 
 // Follower polls controllers. It is safe for concurrent use.
 type Follower struct {
 	config  Config
+	started time.Time
 	pollNow chan struct{}
 
 	mutex          sync.Mutex
@@ -99,7 +108,9 @@
 
 // New returns a follower that knows only its seeds.
 func New(config Config) *Follower {
-	return &Follower{config: config, pollNow: make(chan struct{}, 1), controllers: config.Seeds()}
+	return &Follower{
+		config: config, started: time.Now(), pollNow: make(chan struct{}, 1), controllers: config.Seeds(),
+	}
 }
 
 // Poll requests a poll of all controllers without waiting for the poll interval.
@@ -143,7 +154,9 @@
 // and in which state.
 func (f *Follower) SendFinalPoll() { f.pollAll(time.Now()) }
 
-// pollAll polls every controller and returns the time until the next poll.
+// pollAll polls every controller and returns the time until the next poll. While the source
+// is ready, the other controllers are asked to reply only if they have a newer document:
+// with five controllers their replies would be a third of the control traffic in bytes.
 func (f *Follower) pollAll(now time.Time) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -168,7 +181,10 @@
 		poll.Agent = &record
 	}
 
+	introduced := f.config.Announce == nil || now.Sub(f.started) > introductionTime
+
 	for _, controller := range f.controllers {
+		poll.OnlyIfNewer = introduced && f.sourceReady && controller != f.source
 		f.pollOne(poll, controller)
 	}
 
@@ -180,12 +196,8 @@
 	return pollInterval - time.Duration(rand.Int64N(int64(pollInterval/8)))
 }
 
-// pollOne polls a controller. While the source is ready, the other controllers are
-// asked to reply only if they have a newer document: with five controllers their
-// replies would be a third of the control traffic in bytes.
+// pollOne polls a controller.
 func (f *Follower) pollOne(poll wire.Poll, controller flow.Endpoint) {
-	poll.OnlyIfNewer = f.sourceReady && controller != f.source
-
 	if f.config.WantsAgents && controller == f.source {
 		poll.WantsAgents, poll.Epoch, poll.Position = true, f.epoch, f.position
 	}
@@ -281,6 +293,10 @@
 		f.send(from, wire.KindFetch, wire.Fetch{Above: f.version})
 	}
 
+	if reply.Predecessor != nil && f.config.Predecessor != nil {
+		f.config.Predecessor(now, *reply.Predecessor)
+	}
+
 	f.chooseSource(now, controller, reply.Ready)
 
 	if controller == f.source {
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -121,6 +121,8 @@
 	agents          *roster.List
 	pollers         map[netip.AddrPort]*poller
 	notifiedVersion uint64 // newest version that the pollers were notified of
+	// listeningSince is since when this controller has heard of every agent that polled it.
+	listeningSince time.Time
 }
 
 // publishedState is what the owner shares with the other goroutines.
@@ -169,6 +171,7 @@
 		events:     make(chan event, maxPendingEvents), acceptLatency: latency.New(),
 		agents: roster.New(rand.Uint64() | 1), pollers: make(map[netip.AddrPort]*poller),
 	}
+	r.listeningSince = r.started
 	r.published.Store(&publishedState{})
 	r.checkpoints = newCheckpointService(settings.Files, filepath.Join(settings.Directory, flowsDirectory), conn, logger)
 
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -8,6 +8,7 @@
 	"jayspindle/internal/program/uptime"
 	"jayspindle/internal/protocol/wire"
 	"jayspindle/internal/state/flow"
+	"jayspindle/internal/state/roster"
 )
 
 const (
@@ -32,6 +33,10 @@
 	// of each agent.
 	resumeDelay = 2500 * time.Millisecond
 
+	// maxListeningPause is the longest time between two runs of expireSilent after which
+	// no poll can have been lost: instances poll more often, and the socket keeps some.
+	maxListeningPause = time.Second
+
 	// maxRepeats limits the repeated notifications about one document.
 	maxRepeats = 10
 )
@@ -89,9 +94,38 @@
 		r.addAgents(reply, poll)
 	}
 
+	if poll.Agent != nil {
+		reply.Predecessor = r.predecessor(now, poll.Agent.Address, reply.Ready)
+	}
+
 	return urgent
 }
 
+// predecessor tells an agent what is known of an earlier one at its address. A controller
+// that is cut off may have missed agents that the others know. The caller holds the
+// mutex.
+func (r *Registry) predecessor(now time.Time, agent flow.Endpoint, ready bool) *roster.Predecessor {
+	found := &roster.Predecessor{SinceHeard: r.agents.SinceHeard(now, agent)}
+
+	if ready {
+		listening := min(now.Sub(r.listeningSince), now.Sub(r.suspension.lastResume(now)))
+		found.Listening = min(listening, roster.Memory)
+	}
+
+	return found
+}
+
+// listenSinceFoundation records that no agent can have polled before this controller
+// started, because the deployment did not exist.
+func (r *Registry) listenSinceFoundation() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.listeningSince.Equal(r.started) {
+		r.listeningSince = r.started.Add(-roster.Memory)
+	}
+}
+
 // recordPoll records the contents of a poll and reports whether followers should
 // be notified at once. The caller holds the mutex.
 func (r *Registry) recordPoll(now time.Time, from netip.AddrPort, poll wire.Poll) bool {
@@ -238,6 +272,8 @@
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 
+	lastRun := time.Now()
+
 	for {
 		select {
 		case <-ticker.C:
@@ -248,6 +284,11 @@
 		now := time.Now()
 
 		r.mutex.Lock()
+		if now.Sub(lastRun) > maxListeningPause {
+			r.listeningSince = now
+		}
+
+		lastRun = now
 		changed := r.agents.Expire(now)
 
 		for address, p := range r.pollers {
--- a/internal/program/registry/storage.go
+++ b/internal/program/registry/storage.go
@@ -105,6 +105,8 @@
 	// The snapshot is saved before the group is joined: after a crash in between,
 	// bootstrap runs again with the same snapshot.
 	if stored.Snapshot.Index == 0 {
+		o.listenSinceFoundation()
+
 		stored.Snapshot = raft.Bootstrap(members, data)
 		if err := o.log.SaveSnapshot(&stored.Snapshot); err != nil {
 			return err
--- a/internal/program/sidecar/reports.go
+++ b/internal/program/sidecar/reports.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jayspindle/internal/coordination/gate"
+	"jayspindle/internal/state/roster"
 )
 
 // Report applies a status report of the backend server. Once it returns, a
@@ -37,6 +38,21 @@
 	return outcome, err
 }
 
+// observePredecessor applies what a controller tells about earlier agents at the address of
+// this one.
+func (s *Sidecar) observePredecessor(now time.Time, found roster.Predecessor) {
+	s.mutex.Lock()
+	before := s.gate.SeenFromStart()
+	s.gate.ObservePredecessor(now, found)
+	after := s.gate.SeenFromStart()
+	s.mutex.Unlock()
+
+	if before != after {
+		s.logger.Info("learned of earlier agents at this address", "since_heard_ms", found.SinceHeard.Milliseconds(),
+			"listening_ms", found.Listening.Milliseconds(), "all_flows_seen", after)
+	}
+}
+
 // RefuseReport counts and logs a report or deregistration that was refused. Reports that
 // cannot be read do not reach Report.
 func (s *Sidecar) RefuseReport(id string, err error) {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -129,7 +129,7 @@
 	}, s.answerTimes.Observe)
 	s.follower = follower.New(follower.Config{
 		Conn: s.control, BootID: rand.Uint64(), Seeds: settings.Seeds, Events: events{s}, Announce: s.announce,
-		Logger: logger,
+		Predecessor: s.observePredecessor, Logger: logger,
 	})
 	s.checkpointer = newCheckpointer(s)
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -123,6 +123,8 @@
 	Position uint64          `cbor:"6,keyasint,omitempty"`
 	Complete bool            `cbor:"7,keyasint,omitempty"` // Agents is the complete list, not only the changes
 	Agents   []roster.Record `cbor:"8,keyasint,omitempty"`
+	// Predecessor answers agents only.
+	Predecessor *roster.Predecessor `cbor:"9,keyasint,omitempty"`
 }
 
 // Fetch asks a controller for its newest document, if it is newer than Above.
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -33,6 +33,9 @@
 	// is not considered lost.
 	GoneTimeout = 5 * time.Second
 
+	// Memory is how long after its last announcement an agent is remembered.
+	Memory = 2 * GoneTimeout
+
 	// maxEarlierBoots limits the earlier starts of an agent whose delayed
 	// announcements can be distinguished from current ones.
 	maxEarlierBoots = 8
@@ -105,12 +108,24 @@
 	return r != other
 }
 
+// Predecessor is what a controller tells an agent about those that had its address
+// before it started.
+type Predecessor struct {
+	// Listening is for how long the controller has heard of every agent; 0 if it may have
+	// missed some.
+	Listening time.Duration `cbor:"1,keyasint,omitempty"`
+	// SinceHeard is how long ago the controller last heard of a predecessor; 0 if it
+	// remembers none.
+	SinceHeard time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // entry is a record with the internal state of the list for its agent.
 type entry struct {
 	Record
 	sequence     uint64
 	lastSeen     time.Time
 	earlierBoots []uint64              // Boot values of earlier starts of the agent
+	earlierSeen  time.Time             // last announcement of the start before; zero if there was none
 	outdated     newest.Series[uint64] // of announcements, by their Boot value
 }
 
@@ -169,6 +184,7 @@
 
 	if known.Boot != record.Boot && !known.lastSeen.IsZero() {
 		known.retireBoot(record.Boot)
+		known.earlierSeen = known.lastSeen
 	}
 
 	notifyNow := record.State != known.State || record.Service != known.Service || record.Failing != known.Failing
@@ -214,7 +230,7 @@
 		switch {
 		// Followers poll several times a second and have had GoneTimeout to receive
 		// the Gone record.
-		case e.State == Gone && sinceSeen > 2*GoneTimeout:
+		case e.State == Gone && sinceSeen > Memory:
 			delete(l.entries, address)
 		case sinceSeen > GoneTimeout:
 			next = Gone
@@ -232,6 +248,17 @@
 	return changed
 }
 
+// SinceHeard returns how long ago the agent that had the address before the current one
+// last announced itself, or 0 if none is remembered.
+func (l *List) SinceHeard(now time.Time, address flow.Endpoint) time.Duration {
+	e := l.entries[address]
+	if e == nil || e.earlierSeen.IsZero() {
+		return 0
+	}
+
+	return max(1, now.Sub(e.earlierSeen))
+}
+
 // Since returns the records that changed after a position, and the current
 // position. For position 0 it returns all agents that are not gone.
 func (l *List) Since(position uint64) ([]Record, uint64) {
