Send packets to unsure agents of the flow's own service first

Cause: restarted agents are unsure of flows that are younger than a checkpoint. A restarted entry instance tries at most eight of them in 2.5 s, in the order of their answers, and the agent that is asked first for its pointers may be of another service. It took the place of a candidate.

Evidence: the record of the case; TestRestartOfAll repeats it without processes. Ruled out: a holder that was not asked, since all agents answer within 0.2 s.

Fix: unsure agents of the service that a new flow would go to come before all others. Beyond eight, up to the 32 agents that are asked first get the packet while there is bandwidth for questions: once other servers have got it, the right one should get it soon. The limit of eight stays where links are slow.

Left: several other servers still get the packet first, within some 0.3 s.

--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -66,7 +66,8 @@
 	acknowledged uint32   // by the last packet of the client
 	tried        []flow.Endpoint
 	awaiting     []flow.Endpoint // agents that were asked and have not answered
-	unsure       []flow.Endpoint // agents that may hold the flow
+	unsure       []flow.Endpoint // agents that may hold the flow, the likely ones first
+	likely       int             // unsure agents of the service that a new flow would go to
 	openDeadline time.Time       // when the client gives up on opening the flow
 	offers       int             // agents that got the first packet and may still answer
 	declined     []flow.Endpoint // agents that had no free slot for the flow
@@ -79,6 +80,28 @@
 	incomplete Reason
 }
 
+// addUnsure adds an agent that may hold the flow. Agents of other services come last: they
+// hold it only if the document has moved the route since.
+func (p *pending) addUnsure(agent flow.Endpoint, likely bool) {
+	switch {
+	case slices.Contains(p.unsure, agent):
+	case likely:
+		p.unsure = slices.Insert(p.unsure, p.likely, agent)
+		p.likely++
+	default:
+		p.unsure = append(p.unsure, agent)
+	}
+}
+
+// popUnsure removes the agent that most likely holds the flow.
+func (p *pending) popUnsure() flow.Endpoint {
+	agent := p.unsure[0]
+	p.unsure = p.unsure[1:]
+	p.likely = max(0, p.likely-1)
+
+	return agent
+}
+
 // addPacket stores a copy of a packet, because the caller reuses the buffer.
 func (p *pending) addPacket(header flow.Header, packet []byte) {
 	p.acknowledged = header.Acknowledged
--- a/internal/coordination/steering/limits.go
+++ b/internal/coordination/steering/limits.go
@@ -116,6 +116,11 @@
 	// filled the links of 2 Mbit/s.
 	maxProbes = maxCandidates
 
+	// maxLateProbes is the limit while there is bandwidth for questions: the agents that are
+	// asked first. The backend server that holds the flow should get the packet
+	// soon, once others have got it.
+	maxLateProbes = maxCandidates + maxNextAgents
+
 	// maxSearchTime is how long a search waits for bandwidth. Clients retransmit
 	// packets after 200 ms at first, so several of them are kept by then.
 	maxSearchTime = time.Second
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -64,7 +64,7 @@
 		return r.ask(now, key, e, slices.Clone(r.allAgents), &r.questions.others)
 	default:
 		// The flow can only be held by an agent that is unsure.
-		return e.incomplete == ReasonNone && r.probe(now, key, e, maxProbes)
+		return e.incomplete == ReasonNone && r.mayProbeRest(now, e) && r.probe(now, key, e, maxLateProbes)
 	}
 }
 
@@ -119,6 +119,14 @@
 	return found[:min(limit, len(found))]
 }
 
+// mayGetNewFlow reports whether an agent is of the service that a new flow of the key would
+// go to.
+func (r *Router) mayGetNewFlow(target *route.Route, key flow.Key, address flow.Endpoint) bool {
+	a := r.agents[address]
+
+	return a != nil && a.Service == target.Pick(key.Hash())
+}
+
 // probe sends the first packet to the next unsure agent, and reports false if there
 // is none, or if limit agents have got one recently.
 func (r *Router) probe(now time.Time, key flow.Key, e *entry, limit int) bool {
@@ -130,7 +138,7 @@
 		return false
 	}
 
-	e.agent, e.unsure = e.unsure[0], e.unsure[1:]
+	e.agent = e.popUnsure()
 	e.probing = true
 	e.probes++
 	e.deadline = now.Add(probeTimeout)
@@ -140,6 +148,12 @@
 	return true
 }
 
+// mayProbeRest reports whether another unsure agent may get a packet after all others have
+// denied the flow. Beyond the candidates for a new flow that takes bandwidth.
+func (r *Router) mayProbeRest(now time.Time, e *entry) bool {
+	return e.probes < maxProbes || r.nearBudget.AllowN(now, len(e.packets[0]))
+}
+
 // handleAnswer handles the answer of an agent about one flow.
 func (r *Router) handleAnswer(now time.Time, from flow.Endpoint, key flow.Key, answer flow.Answer) {
 	e := r.flows[key]
@@ -160,9 +174,7 @@
 
 		return
 	case flow.Unsure:
-		if !slices.Contains(e.unsure, from) {
-			e.unsure = append(e.unsure, from)
-		}
+		e.addUnsure(from, r.mayGetNewFlow(target, key, from))
 	case flow.Absent:
 		e.denied = append(e.denied, from)
 	}
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"jayspindle/internal/coordination/steering"
 	"jayspindle/internal/state/flow"
 	"jayspindle/internal/state/roster"
@@ -231,6 +233,98 @@
 	f.checkOne(actions, steering.Reset)
 }
 
+// probeAll lets all agents be unsure whether they hold a flow, and return its packet until
+// the holder gets it. It returns the agents that have got the packet.
+func (f *fixture) probeAll(key flow.Key, holder flow.Endpoint) []flow.Endpoint {
+	f.Helper()
+
+	var probed []flow.Endpoint
+
+	actions := slices.Clone(f.router.Packet(f.now, requestHeader(key, 1), []byte("one")))
+
+	for range 1000 {
+		next := []steering.Action{}
+
+		for _, action := range actions {
+			switch action.Kind {
+			case steering.Locate:
+				next = append(next, f.router.Located(f.now, action.To, action.Question.ID, []flow.Answer{flow.Unsure})...)
+			case steering.Forward:
+				probed = append(probed, action.To)
+				if action.To == holder {
+					return probed
+				}
+
+				next = append(next,
+					f.router.Returned(f.now, action.To, requestHeader(key, 1), []byte("one"), roster.Load{})...)
+			case steering.GiveUp, steering.Reset, steering.Point:
+				return probed
+			}
+		}
+
+		if len(next) == 0 {
+			due, waiting := f.router.Due()
+			if !waiting {
+				return probed
+			}
+
+			f.now = due
+			next = f.router.Tick(due)
+		}
+
+		actions = slices.Clone(next)
+	}
+
+	return probed
+}
+
+// TestRestartOfAll guards against packets of an open flow that reach many other backend
+// servers and not its own, because after a restart of all processes every agent is unsure.
+func TestRestartOfAll(t *testing.T) {
+	const count = 30 // agents of the service
+
+	// restart returns a new router with agents of two services.
+	restart := func(t *testing.T) *fixture {
+		t.Helper()
+
+		f := newFixture(t, count)
+		others := agents(2*count, roster.Ready)[count:]
+
+		for i := range others {
+			others[i].Service = "link"
+		}
+
+		f.router.Apply(f.now, others, false)
+
+		return f
+	}
+
+	var service []flow.Endpoint
+	for _, record := range agents(count, roster.Ready) {
+		service = append(service, record.Address)
+	}
+
+	t.Run("candidates for a new flow", func(t *testing.T) {
+		for number := range 50 {
+			holder := newFixture(t, count).openFlow(client(number))
+			probed := restart(t).probeAll(client(number), holder)
+			is.New(t).Equal(probed[len(probed)-1], holder)
+			is.New(t).True(len(probed) <= 8)
+		}
+	})
+
+	t.Run("all agents of the service", func(t *testing.T) {
+		for number := range 50 {
+			probed := restart(t).probeAll(client(number), flow.Endpoint{})
+			is.New(t).True(len(probed) >= count)
+
+			for _, agent := range probed[:count] {
+				is.New(t).True(slices.Contains(service, agent))
+			}
+		}
+	})
+}
+
 // TestSearchWaits guards against packets that are dropped because many flows moved to
 // an entry instance at once, so that their clients wait for a retransmission.
 func TestSearchWaits(t *testing.T) {
