Take a client's packet for the proof that its flow was accepted

Cause: the agent that accepted the flow had not answered the entry instance within 90 ms. The client's next packet then went to the agent that was offered the flow last, and when that one refused the flow as the last of all, the client was reset. Ruled out: a search that found nothing; no line of the flow tells of one.

Fix: the client's packet shows that an agent has accepted the flow. It starts a search if an agent has not answered in time. Otherwise the only agent that was offered the flow holds it, and no other one is offered a flow that is in use.

Tests: both subtests of TestOpenUsed failed before.

--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -90,6 +90,8 @@
 func (r *Router) handleOpenTimeout(now time.Time, target *route.Route, key flow.Key, e *entry) {
 	r.markSuspect(now, e.agent)
 
+	e.timedOut = true
+
 	switch {
 	case !now.Before(e.openDeadline):
 		r.removeFlow(key) // the client has given up
@@ -100,6 +102,22 @@
 	}
 }
 
+// handleUsed decides about the first packet of a client after those that open the flow. It
+// shows that an agent has accepted the flow, whatever the others answer. If only one was
+// offered it, that is the one.
+func (r *Router) handleUsed(
+	now time.Time, target *route.Route, key flow.Key, e *entry, header flow.Header, packet []byte,
+) {
+	if e.timedOut {
+		r.search(now, target, key, e, header, packet)
+
+		return
+	}
+
+	r.assign(now, key, e, e.agent)
+	r.forward(key, e.agent, packet)
+}
+
 // chooseAgent returns the best agent for a new flow that was not tried yet, or
 // nil. The other services of the route are the last resort, and only if document
 // and agents are current: after a loss of all instances, the first service that
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -1,6 +1,7 @@
 package steering_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -214,6 +215,47 @@
 	f.checkOne(f.router.Packet(f.now.Add(steering.OpenTimeout), openHeader(client(2)), []byte("open")), steering.Forward)
 }
 
+// TestOpenUsed guards against the reset of a flow that its client already uses, because the
+// answer of the agent that accepted it is late and all others refuse it (soak seed 72024).
+func TestOpenUsed(t *testing.T) {
+	key := client(1)
+
+	t.Run("after a timeout", func(t *testing.T) {
+		f := newFixture(t, 3)
+		offer := f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		holder := offer.To
+
+		for range 2 {
+			f.now = f.now.Add(steering.OpenTimeout)
+			f.router.Confirm(f.now)
+			offer = f.checkOne(f.router.Tick(f.now), steering.Forward)
+		}
+
+		f.is.Equal(len(f.router.Packet(f.now, requestHeader(key, 1), []byte("one"))), 0)
+		f.is.Equal(len(f.router.Returned(f.now, offer.To, openHeader(key), []byte("open"), roster.Load{})), 0)
+
+		var actions []steering.Action
+
+		for !slices.Contains(f.askedAgents(key, actions), holder) {
+			for asked := range f.questions {
+				actions = f.answer(asked, flow.Absent)
+			}
+		}
+
+		f.is.Equal(f.checkOne(f.answer(holder, flow.Held), steering.Forward).To, holder)
+	})
+
+	t.Run("before any answer", func(t *testing.T) {
+		f := newFixture(t, 3)
+		offer := f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		used := f.checkOne(f.router.Packet(f.now, requestHeader(key, 1), []byte("one")), steering.Forward)
+		f.is.Equal(used.To, offer.To)
+
+		// No other backend server is offered a flow that is open.
+		f.is.Equal(len(f.router.Tick(f.now.Add(steering.OpenTimeout))), 0)
+	})
+}
+
 // TestOpenOtherService guards against a service that gets the flows of the other
 // services of a route because its agents are back first after the loss of all
 // instances. It must take them only if the other services stay unavailable.
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -305,6 +305,8 @@
 		e.addPacket(header, packet)
 	case e.state == lost || e.state == inconclusive:
 		r.handleNotFound(now, target, key, e, header, packet)
+	case e.state == opening && !header.Opens() && !header.Reset:
+		r.handleUsed(now, target, key, e, header, packet)
 	case e.state == opening && header.Opens() && e.offers >= maxOffers:
 		// The client has retransmitted its first packet, so one more agent is tried.
 		e.offers--
