Act on nothing that waited in the sockets of a paused entry instance

A client whose flow is open could be reset by an entry instance that was paused for a second or more: the flow's first packet has waited in its socket while the client opened the flow through another instance.

Cause: the old packet is offered like a new one, and reset if no agent can take it, as long as a controller has confirmed the list of agents within 1.5 s. That holds after a shorter pause, and after a longer one if an answer of before the pause is read after it. Evidence: the subtests 'refused at once' and 'confirmed before the pause' of TestPause, which failed before. Ruled out: suspensions of the machine, which count as age already.

Fix: the router notices that it was not called for 500 ms, or that the machine was suspended. For 200 ms after that it refuses no new flow and takes no confirmation. The client's next copy is decided as usual. To notice pauses, it is called every 250 ms in place of 1 s.

TestOpenOtherService and TestSuspended confirmed the list in the moment of waking, which is what no longer counts; they confirm it 250 ms later and check the same.

--- a/internal/coordination/steering/action.go
+++ b/internal/coordination/steering/action.go
@@ -26,6 +26,8 @@
 	ReasonNoAnswer Reason = "the agent did not answer"
 	ReasonNotHeld  Reason = "no agent holds the flow"
 	ReasonBusy     Reason = "too many flows wait for a decision"
+	// ReasonStale is for flows that are not reset although no agent can take them.
+	ReasonStale    Reason = "no agent can take the flow, but it may have been opened through another instance"
 	ReasonOverload Reason = "clients give up on requests that wait, and this one would have to wait"
 
 	// Reasons why a search can neither find a flow nor prove that it is lost.
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -70,6 +70,7 @@
 	likely       int             // unsure agents of the service that a new flow would go to
 	openDeadline time.Time       // when the client gives up on opening the flow
 	offers       int             // agents that got the first packet and may still answer
+	stale        bool            // the first packet may have waited while the router was paused
 	timedOut     bool            // an agent did not answer in time, but may have accepted the flow
 	declined     []flow.Endpoint // agents that had no free slot for the flow
 	declinable   bool            // the last offer lets the agent decline
--- a/internal/coordination/steering/fixture_test.go
+++ b/internal/coordination/steering/fixture_test.go
@@ -71,6 +71,13 @@
 	return f
 }
 
+// confirmAfterPause lets the router run until what it reads is not of before a pause, and
+// confirms the list of agents.
+func (f *fixture) confirmAfterPause() {
+	f.now = f.now.Add(250 * time.Millisecond)
+	f.router.Confirm(f.now)
+}
+
 func client(number int) flow.Key {
 	ip := netip.AddrFrom4([4]byte{192, 0, byte(number >> 14), byte(number >> 6)})
 
--- a/internal/coordination/steering/limits.go
+++ b/internal/coordination/steering/limits.go
@@ -12,6 +12,16 @@
 	// period of 100 ms in which an instance may be out of processor time.
 	OpenTimeout = 90 * time.Millisecond
 
+	// MinPause is the time without a call from which a router was paused: its process was
+	// frozen, or got no processor time. An instance that is paused stays in rotation for
+	// two missed health checks, which come every 500 ms.
+	MinPause = 500 * time.Millisecond
+
+	// staleWindow is how long after a pause the packets that are read may have arrived
+	// before it: a full socket buffer takes some 10 ms of processor time, of which an
+	// instance may have a tenth.
+	staleWindow = 200 * time.Millisecond
+
 	// openLifetime is how long a client waits for its flow to open. Later
 	// answers are useless to it.
 	openLifetime = 1400 * time.Millisecond
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -13,9 +13,11 @@
 
 // open sends the first packet of a flow to the best candidate.
 func (r *Router) open(now time.Time, target *route.Route, key flow.Key, packet []byte) {
+	stale := r.pauses.mayBeStale(now)
+
 	if len(r.pendingFlows) >= maxPendingFlows {
 		r.counters.Dropped++
-		r.reset(key, 0, ReasonBusy)
+		r.refuse(key, stale, ReasonBusy)
 
 		return
 	}
@@ -23,9 +25,23 @@
 	r.counters.Opened++
 
 	e := r.addPending(now, key, packet)
+	e.stale = stale
 	r.offer(now, target, key, e, ReasonNone)
 }
 
+// refuse tells the client that its flow was not opened. A first packet that has waited while
+// the router was paused does not allow that: the client has sent it again meanwhile, and may
+// have opened the flow through another entry instance.
+func (r *Router) refuse(key flow.Key, stale bool, reason Reason) {
+	if stale {
+		r.addAction(Action{Kind: GiveUp, Key: key, Reason: ReasonStale})
+
+		return
+	}
+
+	r.reset(key, 0, reason)
+}
+
 // addPending adds a flow that is to be opened. The tried agents have refused it.
 func (r *Router) addPending(now time.Time, key flow.Key, packet []byte, tried ...flow.Endpoint) *entry {
 	e := &entry{state: opening, lastPacket: now, pending: &pending{
@@ -67,7 +83,7 @@
 			return
 		}
 
-		r.reset(key, 0, ReasonNoAgent)
+		r.refuse(key, e.stale, ReasonNoAgent)
 
 		return
 	}
@@ -316,7 +332,7 @@
 	if !e.declinable {
 		// The least loaded of several agents would let the request wait in vain.
 		r.removeFlow(key)
-		r.reset(key, 0, ReasonOverload)
+		r.refuse(key, e.stale, ReasonOverload)
 
 		return r.actions
 	}
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -205,6 +205,64 @@
 	f.is.True(!waiting)
 }
 
+// TestPause guards against an entry instance that was paused and resets a flow that its client
+// has opened through another one meanwhile: the first packet of the flow has waited in the
+// socket. It also guards against a confirmation of before the pause that counts as new.
+func TestPause(t *testing.T) {
+	const pause = 1200 * time.Millisecond // the list of agents is still confirmed
+
+	key := client(1)
+	refuse := func(f *fixture, offer steering.Action) []steering.Action {
+		return f.router.Returned(f.now, offer.To, openHeader(key), []byte("open"), roster.Load{})
+	}
+
+	newPaused := func(t *testing.T) *fixture {
+		t.Helper()
+
+		f := newFixture(t, 1)
+		f.now = f.now.Add(pause)
+
+		return f
+	}
+
+	t.Run("refused at once", func(t *testing.T) {
+		f := newPaused(t)
+		offer := f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		f.is.Equal(f.checkOne(refuse(f, offer), steering.GiveUp).Reason, steering.ReasonStale)
+	})
+
+	t.Run("later packet", func(t *testing.T) {
+		f := newPaused(t)
+		f.router.Tick(f.now)
+		f.now = f.now.Add(250 * time.Millisecond)
+		offer := f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		f.checkOne(refuse(f, offer), steering.Reset)
+	})
+
+	t.Run("sent again after the pause", func(t *testing.T) {
+		f := newPaused(t)
+		offer := f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		refuse(f, offer)
+
+		f.confirmAfterPause()
+		offer = f.checkOne(f.router.Packet(f.now, openHeader(key), []byte("open")), steering.Forward)
+		f.checkOne(refuse(f, offer), steering.Reset)
+	})
+
+	t.Run("confirmed before the pause", func(t *testing.T) {
+		f := newFixture(t, 1)
+		unrouted := key
+		unrouted.Service.Port++
+
+		f.now = f.now.Add(3 * time.Second)
+		f.router.Confirm(f.now) // the answer waited in the socket
+		f.is.Equal(len(f.router.Packet(f.now, openHeader(unrouted), []byte("open"))), 0)
+
+		f.confirmAfterPause()
+		f.checkOne(f.router.Packet(f.now, openHeader(unrouted), []byte("open")), steering.Reset)
+	})
+}
+
 // TestOpenLastResort guards against a service that gets no flows because all of
 // its agents have recently failed to answer.
 func TestOpenLastResort(t *testing.T) {
@@ -269,7 +327,7 @@
 	f.now = start.Add(time.Minute) // the view is not confirmed
 	f.is.Equal(len(f.router.Packet(f.now, openHeader(client(1)), []byte("open"))), 0)
 
-	f.router.Confirm(f.now)
+	f.confirmAfterPause()
 	f.checkOne(f.router.Packet(f.now, openHeader(client(1)), []byte("open")), steering.Forward)
 }
 
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -276,6 +276,7 @@
 func (r *Router) Tick(now time.Time) []Action {
 	r.actions = r.actions[:0]
 
+	r.pauses.observe(now, r.config.Suspended())
 	r.flush(now)
 
 	for key, e := range r.pendingFlows {
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -185,7 +185,7 @@
 	actions := f.router.Located(due, asked[0].To, asked[0].Question.ID, []flow.Answer{flow.Absent})
 	f.is.Equal(f.checkOne(actions, steering.GiveUp).Reason, steering.ReasonOutdated)
 
-	f.router.Confirm(f.now)
+	f.confirmAfterPause()
 	f.checkOne(f.router.Packet(f.now, openHeader(unrouted), []byte("open")), steering.Reset)
 
 	// A start on a machine that was suspended before.
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -80,6 +80,7 @@
 type Router struct {
 	config         Config
 	table          *route.Table
+	pauses         pauses
 	lastConfirmed  time.Time     // last time that a controller confirmed document and agents
 	suspended      time.Duration // of the machine, up to lastConfirmed
 	agents         map[flow.Endpoint]*agent
@@ -113,6 +114,7 @@
 	}
 
 	return &Router{
+		pauses:       pauses{lastRun: config.Boot, suspended: config.Suspended()},
 		nearBudget:   rate.NewLimiter(rate.Limit(nearLinkShare*link), int(nearBurst.Seconds()*link)),
 		otherBudget:  rate.NewLimiter(rate.Limit(otherLinkShare*link), 0),
 		questions:    newQuestions(config.FirstQuestion),
@@ -213,8 +215,14 @@
 }
 
 // Confirm records that a controller has just confirmed that document and agents
-// are current.
+// are current. After a pause its answer may be of before.
 func (r *Router) Confirm(now time.Time) {
+	r.pauses.observe(now, r.config.Suspended())
+
+	if r.pauses.mayBeStale(now) {
+		return
+	}
+
 	r.lastConfirmed, r.suspended = now, r.config.Suspended()
 }
 
@@ -257,6 +265,10 @@
 	r.actions = r.actions[:0]
 	key := header.Key()
 
+	if header.Opens() {
+		r.pauses.observe(now, r.config.Suspended())
+	}
+
 	target, ok := r.table.Find(key.Service)
 	if !ok {
 		r.refuseUnrouted(now, header)
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -38,8 +38,9 @@
 )
 
 const (
-	// maxTickInterval bounds the time between two ticks of the router.
-	maxTickInterval = time.Second
+	// maxTickInterval bounds the time between two ticks of the router, which takes twice as
+	// much for a pause.
+	maxTickInterval = steering.MinPause / 2
 )
 
 // Kind classifies an Error.
@@ -322,7 +323,10 @@
 	}
 
 	message := "moved or refused a flow"
-	if action.Kind == steering.GiveUp {
+	switch {
+	case action.Reason == steering.ReasonStale:
+		message = "left the opening of a flow unanswered"
+	case action.Kind == steering.GiveUp:
 		message = "did not find the agent of a flow"
 	}
 
