Wait for all controllers before an agent claims to know all flows

A controller that was cut off from the agent's earlier start, and has heard of no other, answers the first poll; those that have heard of it answer a moment later, and outweigh it only then.

Cause: the first answer of a controller was enough for the claim. The subtest 'controllers answer after the first report' of TestKnows now expects 'unsure' after the first answer; before this change the answer was 'absent'. The wait of 150 ms was already there where the clock decides; it now comes first.

The fixture of the other tests has had an answer 150 ms before its start.

--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -29,6 +29,7 @@
 )
 
 const (
+	predecessorDelay = 150 * time.Millisecond
 	reportInterval   = 770 * time.Millisecond
 	minCheckpointAge = time.Second // from which a flow is stored
 )
@@ -68,6 +69,9 @@
 
 	g := gate.New(gate.Config{Service: "desk", Boot: start, ReportInterval: reportInterval}, func(time.Duration) {})
 	g.SetTable(table(t, 1, "desk"))
+
+	// All controllers have had the time to answer.
+	g.ObservePredecessor(start.Add(-predecessorDelay), found)
 	g.ObservePredecessor(start, found)
 
 	return &backendFixture{T: t, is: is.New(t), now: start, gate: g}
@@ -399,8 +403,6 @@
 			b := newFixtureWith(t, test.predecessor)
 			b.advance(test.uptime)
 			b.report(report(b.now.Add(-test.age), test.sequence))
-			b.advance(2 * soon)
-			b.gate.ObservePredecessor(b.now, test.predecessor)
 			b.is.Equal(b.gate.Locate(b.now, key), test.want)
 		})
 	}
@@ -409,10 +411,6 @@
 		b := newFixtureWith(t, newListener)
 		b.advance(soon)
 		b.report(report(b.now.Add(-130*time.Millisecond), 1))
-		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure) // the others may not have answered
-
-		b.advance(2 * soon)
-		b.gate.ObservePredecessor(b.now, newListener)
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 
 		b.gate.ObservePredecessor(b.now, restarted)
@@ -425,6 +423,10 @@
 		b.report(report(b.now, 1))
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 
+		b.gate.ObservePredecessor(b.now, noPredecessor)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure) // another one may know better
+
+		b.advance(predecessorDelay)
 		b.gate.ObservePredecessor(b.now, noPredecessor)
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 
--- a/internal/coordination/gate/start.go
+++ b/internal/coordination/gate/start.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// answered reports whether the controllers have had the time to tell of a predecessor.
+// answered reports whether all controllers have had the time to tell of a predecessor: one
+// that was cut off from it may answer before those that have heard of it.
 func (p *predecessors) answered() bool { return p.lastAnswer.Sub(p.firstAnswer) >= predecessorDelay }
 
 // SeenFromStart reports whether the gate has seen every flow of the current start of the
@@ -144,8 +145,7 @@
 // The number of its first report shows that it started after the gate.
 //
 // The controllers have heard of no earlier agent at this address since it may have
-// started, so nobody else has passed packets to it. They answer soon after the gate has
-// started.
+// started, so nobody else has passed packets to it.
 //
 // Controllers that have started later than that, after a loss of power everywhere, cannot
 // tell. Unless one of them knows better, the start time counts, for the first calls only:
@@ -157,11 +157,11 @@
 		return true
 	}
 
-	if p.firstAnswer.IsZero() || !p.heard.Before(o.earliest) {
+	if !p.answered() || !p.heard.Before(o.earliest) {
 		return false
 	}
 
-	return !p.excluded.After(o.earliest) || (o.byClock && p.answered())
+	return !p.excluded.After(o.earliest) || o.byClock
 }
 
 // maxReportGap is the longest time between two calls of a running backend server: it
