--- a/internal/coordination/gate/gate.go
+++ b/internal/coordination/gate/gate.go
@@ -67,20 +67,6 @@
 	// before it gets no new flows.
 	maxMissedReports = 3
 
-	// startTolerance is how much earlier than the gate a backend server may have
-	// started and still count as started together with it. An agent that starts at the
-	// same time needs some 30 ms to run; one that is restarted cannot have served the
-	// backend server, ended and started again within the tolerance.
-	startTolerance = 100 * time.Millisecond
-
-	// predecessorDelay is how long after the first controller the others may answer: three
-	// polls of an agent that has just started.
-	predecessorDelay = 150 * time.Millisecond
-
-	// maxCounted limits the sequence numbers that tell the age of a backend server. It
-	// keeps the product with the interval within a Duration.
-	maxCounted = 1 << 20
-
 	// learningWindow is how long after the start of a gate its backend server may
 	// hold flows that the gate has not seen: the longest lifetime of a flow in
 	// the deployments.
@@ -423,20 +409,6 @@
 	return g.giveUp(h, forwarder, ReasonNotHeld)
 }
 
-// giveUp decides about a packet of a flow that the backend server no longer holds. If the
-// flow was only offered to it, another one may hold the flow.
-func (g *Gate) giveUp(h *trackedFlow, forwarder flow.Endpoint, reason Reason) Decision {
-	if h.confirmed {
-		g.counters.Resets++
-
-		return Decision{Kind: Reset, Forwarder: forwarder, Reason: reason, InUse: true}
-	}
-
-	g.counters.Returned++
-
-	return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
-}
-
 // uptime returns for how long the gate has run.
 func (g *Gate) uptime(now time.Time) time.Duration {
 	uptime := now.Sub(g.config.Boot) - g.paused
--- a/internal/coordination/gate/lost.go
+++ b/internal/coordination/gate/lost.go
@@ -41,6 +41,20 @@
 	return orphans
 }
 
+// giveUp decides about a packet of a flow that the backend server no longer holds. If the
+// flow was only offered to it, another one may hold the flow.
+func (g *Gate) giveUp(h *trackedFlow, forwarder flow.Endpoint, reason Reason) Decision {
+	if h.confirmed {
+		g.counters.Resets++
+
+		return Decision{Kind: Reset, Forwarder: forwarder, Reason: reason, InUse: true}
+	}
+
+	g.counters.Returned++
+
+	return Decision{Kind: Return, Forwarder: forwarder, Reason: reason}
+}
+
 // Locate answers the question of an entry instance whether the backend server holds
 // a flow.
 func (g *Gate) Locate(now time.Time, key flow.Key) flow.Answer {
--- a/internal/coordination/gate/start.go
+++ b/internal/coordination/gate/start.go
@@ -6,6 +6,22 @@
 	"jayspindle/internal/state/roster"
 )
 
+const (
+	// startTolerance is how much earlier than the gate a backend server may have
+	// started and still count as started together with it. An agent that starts at the
+	// same time needs some 30 ms to run; one that is restarted cannot have served the
+	// backend server, ended and started again within the tolerance.
+	startTolerance = 100 * time.Millisecond
+
+	// predecessorDelay is how long after the first controller the others may answer: three
+	// polls of an agent that has just started.
+	predecessorDelay = 150 * time.Millisecond
+
+	// maxCounted limits the sequence numbers that tell the age of a backend server. It
+	// keeps the product with the interval within a Duration.
+	maxCounted = 1 << 20
+)
+
 // replacedStart is the start before the current one while it may still run. The report
 // that replaced it may have a wrong start time, so its flows are kept for the time being.
 type replacedStart struct {
