Say more plainly what three time limits and two tests are for

The comments of MinPause, staleWindow and introductionTime tell what the limit means in place of how it came about. The subtests about the answers of controllers are a test of their own, and the groups with a spare controller come from one function.

--- a/internal/coordination/gate/gate_test.go
+++ b/internal/coordination/gate/gate_test.go
@@ -407,9 +407,22 @@
 		})
 	}
 
+	t.Run("no backend server", func(t *testing.T) {
+		b := newFixtureWith(t, restarted)
+		b.advance(4 * reportInterval)
+		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
+	})
+}
+
+// TestControllersAnswer guards against the denial of flows before all controllers have told
+// whether they have heard of an earlier agent, and against an agent that never knows its
+// flows because the controllers have started with it.
+func TestControllersAnswer(t *testing.T) {
+	const uptime = 100 * time.Millisecond // of the agent at the first report
+
 	t.Run("controllers have started with the agent", func(t *testing.T) {
-		b := newFixtureWith(t, newListener)
-		b.advance(soon)
+		b := newFixtureWith(t, roster.Predecessor{Listening: time.Second})
+		b.advance(uptime)
 		b.report(report(b.now.Add(-130*time.Millisecond), 1))
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
 
@@ -418,8 +431,8 @@
 	})
 
 	t.Run("controllers answer after the first report", func(t *testing.T) {
-		b := newFixtureWith(t, notListening)
-		b.advance(soon)
+		b := newFixtureWith(t, roster.Predecessor{})
+		b.advance(uptime)
 		b.report(report(b.now, 1))
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 
@@ -435,12 +448,6 @@
 		b.gate.ObservePredecessor(b.now, noPredecessor)
 		b.is.Equal(b.gate.Locate(b.now, key), flow.Unsure)
 	})
-
-	t.Run("no backend server", func(t *testing.T) {
-		b := newFixtureWith(t, restarted)
-		b.advance(4 * reportInterval)
-		b.is.Equal(b.gate.Locate(b.now, key), flow.Absent)
-	})
 }
 
 // TestRestartBeforeSecondReport guards against the reset of open flows of a backend
--- a/internal/coordination/steering/limits.go
+++ b/internal/coordination/steering/limits.go
@@ -12,14 +12,14 @@
 	// period of 100 ms in which an instance may be out of processor time.
 	OpenTimeout = 90 * time.Millisecond
 
-	// MinPause is the time without a call from which a router was paused: its process was
-	// frozen, or got no processor time. An instance that is paused stays in rotation for
-	// two missed health checks, which come every 500 ms.
+	// MinPause is the time without a call from which a router counts as paused: its process
+	// was frozen, or got no processor time. Within it, the copies of a first packet still
+	// reach the same entry instance, which stays in rotation until it has missed two health
+	// checks, 500 ms apart.
 	MinPause = 500 * time.Millisecond
 
-	// staleWindow is how long after a pause the packets that are read may have arrived
-	// before it: a full socket buffer takes some 10 ms of processor time, of which an
-	// instance may have a tenth.
+	// staleWindow is how long after a pause packets that have waited in the sockets may still
+	// be read: an instance may have less than a tenth of a core for them.
 	staleWindow = 200 * time.Millisecond
 
 	// openLifetime is how long a client waits for its flow to open. Later
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -44,8 +44,8 @@
 	minPollInterval = 30 * time.Millisecond
 
 	// introductionTime is how long after its start an agent is answered by all controllers,
-	// which tell whether an earlier agent had its address. Longer ago, an earlier one does
-	// not matter: see gate.Gate.ObservePredecessor.
+	// which tell whether an earlier agent had its address. A backend server whose first
+	// report comes later is known to be younger than the agent without them.
 	introductionTime = 3 * time.Second
 
 	// fetchRetryInterval is how long a requested document may take to arrive before
--- a/internal/program/registry/leave_test.go
+++ b/internal/program/registry/leave_test.go
@@ -7,6 +7,19 @@
 	"testing"
 )
 
+// newClusterWithSpare returns a group of five controllers and the successor of one of them.
+func newClusterWithSpare(t *testing.T) *cluster {
+	t.Helper()
+
+	c := newCluster(t)
+	c.bootstrap(5)
+	c.submit(1)
+	c.start(6, "6", false)
+	c.expectVoters(6)
+
+	return c
+}
+
 // expectVoters waits until all controllers know of so many voters.
 func (c *cluster) expectVoters(want int) {
 	c.Helper()
@@ -57,11 +70,7 @@
 		t.Run(fmt.Sprintf("leader %t", leads), func(t *testing.T) {
 			t.Parallel()
 
-			c := newCluster(t)
-			c.bootstrap(5)
-			c.submit(1)
-			c.start(6, "6", false)
-			c.expectVoters(6)
+			c := newClusterWithSpare(t)
 
 			leaving := c.find(leads)
 			c.kill(leaving)
@@ -88,11 +97,7 @@
 func TestRestartsWithSpare(t *testing.T) {
 	t.Parallel()
 
-	c := newCluster(t)
-	c.bootstrap(5)
-	c.submit(1)
-	c.start(6, "6", false)
-	c.expectVoters(6)
+	c := newClusterWithSpare(t)
 
 	for _, number := range []int{c.find(true), c.find(false)} {
 		c.kill(number)
