Reserve the ports of the groups in the tests of the registry

Ruled out: the busy processes and the change; the message names the address.

A group now holds a socket in its subnet, and takes the next port if another run has it.

--- a/internal/program/registry/registry_test.go
+++ b/internal/program/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -46,11 +47,33 @@
 	done chan error
 }
 
+// reservePort returns a port that no other run of the tests uses in the subnet. The socket
+// that it opens holds the port until the test ends.
+func reservePort(t *testing.T, subnet int32) uint16 {
+	t.Helper()
+
+	const first, ports = 21_000, 100
+
+	for port := uint16(first); port < first+ports; port++ {
+		lock, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.%d.254:%d", subnet, port))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() }) // nothing was sent
+
+			return port
+		}
+	}
+
+	t.Fatalf("all ports of subnet %d are in use", subnet)
+
+	return 0
+}
+
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 
+	subnet := 40 + lastSubnet.Add(1)
 	c := &cluster{
-		T: t, is: is.New(t), directory: t.TempDir(), subnet: 40 + lastSubnet.Add(1), port: 21_000,
+		T: t, is: is.New(t), directory: t.TempDir(), subnet: subnet, port: reservePort(t, subnet),
 		running: make(map[int]*process), disks: make(map[string]*limitedDisk),
 	}
 
