Show that a planned restart of an agent resets open flows

Cause: an agent that neither answers nor has announced itself for 1.6 s is taken for lost with its backend server, also after an announced stop.

--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -32,6 +32,7 @@
 
 var scenarios = map[string]scenario{
 	"stale-list":     staleList,
+	"silent-agent":   silentAgent,
 	"slow-upload":    slowUpload,
 	"lost-seeds":     lostSeeds,
 	"leaving-leader": leavingLeader,
