Reset a flow only with a list of agents that is newer than its search

Cause: a flow counted as lost if every agent of a list denied it that a controller had confirmed within 1.5 s. A balancer whose controller has just stopped has such a list, while others have learned of a new agent from their controllers and opened flows there.

Ruled out: an agent that denies its own flow (it was not asked), a list that the controllers lack (all four had the agent), a reset by an agent (the log line is the balancer's).

Fix: the search notes when it began, a confirmation when its poll was sent. A reset needs an answer to a poll of during the search; agents that this answer adds are asked too. Why it works: a flow that was open when the search began is held by an agent which controllers knew before that. The same for open flows on an unknown route, and for replies that were long under way.

Calls of Confirm in older tests got a second argument.

--- a/internal/coordination/gate/load_test.go
+++ b/internal/coordination/gate/load_test.go
@@ -175,7 +175,7 @@
 
 	for _, router := range r.routers {
 		router.Apply(r.now, records, true)
-		router.Confirm(r.now)
+		router.Confirm(r.now, r.now)
 	}
 
 	if r.now.Sub(r.start) < r.load.duration+r.load.timeout {
--- a/internal/coordination/steering/action.go
+++ b/internal/coordination/steering/action.go
@@ -12,6 +12,7 @@
 	Locate                        // ask the agent at To whether it holds the flows of Question
 	GiveUp                        // the packets of a flow were dropped, nothing is to be sent
 	Point                         // tell the agent at To that Holder holds the flow
+	Poll                          // ask the controllers whether document and agents are current
 )
 
 // Reason is why a flow was refused, moved or reset, as it appears in logs.
@@ -62,10 +63,12 @@
 //   - NearQuestions, OtherQuestions: agents asked about a flow.
 //   - Probes: packets sent to agents that were unsure.
 //   - Pointers: pointers left with agents.
+//   - Polls: requests to confirm document and agents before a flow is reset.
+//   - AddedLate: agents asked about a flow because they joined the list during its search.
 //   - Lost: searches that found no agent, conclusive or not.
 //   - Dropped: packets dropped, and new flows refused because too many wait.
 //   - Stray: resets from clients for unknown flows.
 type Counters struct {
-	Opened, Declined, Moved, Resets, Located, Lost, Dropped, Stray uint64
-	NearQuestions, OtherQuestions, Probes, Pointers                uint64
+	Opened, Declined, Moved, Resets, Located, Lost, Dropped, Stray    uint64
+	NearQuestions, OtherQuestions, Probes, Pointers, Polls, AddedLate uint64
 }
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -29,6 +29,7 @@
 	probeUnsure                      // a few unsure ones get a packet
 	askOthers                        // all other agents, to prove that the flow is lost
 	probeRest                        // the remaining unsure ones get a packet
+	askNew                           // agents that a list confirmed since the search began has added
 )
 
 // entry is one flow in the flow table.
@@ -75,13 +76,16 @@
 	declined     []flow.Endpoint // agents that had no free slot for the flow
 	declinable   bool            // the last offer lets the agent decline
 	stage        searchStage
-	searchEnds   time.Time // until when the search waits for bandwidth
-	probing      bool      // a packet was sent to the unsure agent in the field agent
+	searchBegan  time.Time
+	probing      bool // a packet was sent to the unsure agent in the field agent
 	// incomplete is why the flow is not certain to be lost although no agent has said
 	// that it holds it; empty if it is.
 	incomplete Reason
 }
 
+// searchEnds returns until when the search waits for bandwidth or a confirmation.
+func (p *pending) searchEnds() time.Time { return p.searchBegan.Add(maxSearchTime) }
+
 // addUnsure adds an agent that may hold the flow. Agents of other services come last: they
 // hold it only if the document has moved the route since.
 func (p *pending) addUnsure(agent flow.Endpoint, likely bool) {
--- a/internal/coordination/steering/fixture_test.go
+++ b/internal/coordination/steering/fixture_test.go
@@ -66,7 +66,7 @@
 	f := &fixture{T: t, is: is.New(t), now: start, router: router, flows: map[flow.Endpoint]uint16{}}
 	f.router.SetTable(table(t, 1, toService("desk")))
 	f.router.Apply(f.now, agents(count, roster.Ready), true)
-	f.router.Confirm(start)
+	f.router.Confirm(start, start)
 
 	return f
 }
@@ -75,7 +75,7 @@
 // confirms the list of agents.
 func (f *fixture) confirmAfterPause() {
 	f.now = f.now.Add(250 * time.Millisecond)
-	f.router.Confirm(f.now)
+	f.router.Confirm(f.now, f.now)
 }
 
 func client(number int) flow.Key {
--- a/internal/coordination/steering/limits.go
+++ b/internal/coordination/steering/limits.go
@@ -131,10 +131,15 @@
 	// soon, once others have got it.
 	maxLateProbes = maxCandidates + maxNextAgents
 
-	// maxSearchTime is how long a search waits for bandwidth. Clients retransmit
-	// packets after 200 ms at first, so several of them are kept by then.
+	// maxSearchTime is how long a search waits for bandwidth or for a confirmation of
+	// document and agents. Clients retransmit packets after 200 ms at first, so several of
+	// them are kept by then. A controller that is lost is replaced as their source within it.
 	maxSearchTime = time.Second
 
+	// confirmRetryInterval is how often a confirmation is requested while a search waits for
+	// one: several round trips between regions.
+	confirmRetryInterval = 100 * time.Millisecond
+
 	// budgetRetryInterval is how often a search that waits for bandwidth tries again.
 	budgetRetryInterval = 40 * time.Millisecond
 
--- a/internal/coordination/steering/open.go
+++ b/internal/coordination/steering/open.go
@@ -286,7 +286,7 @@
 
 	target, ok := r.table.Find(key.Service)
 	if !ok {
-		r.refuseUnrouted(now, header)
+		r.refuseUnrouted(now, header, packet)
 
 		return r.actions
 	}
--- a/internal/coordination/steering/open_test.go
+++ b/internal/coordination/steering/open_test.go
@@ -255,7 +255,7 @@
 		unrouted.Service.Port++
 
 		f.now = f.now.Add(3 * time.Second)
-		f.router.Confirm(f.now) // the answer waited in the socket
+		f.router.Confirm(f.now, f.now) // the answer waited in the socket
 		f.is.Equal(len(f.router.Packet(f.now, openHeader(unrouted), []byte("open"))), 0)
 
 		f.confirmAfterPause()
@@ -268,7 +268,7 @@
 func TestOpenLastResort(t *testing.T) {
 	f := newFixture(t, 1)
 	f.router.Packet(f.now, openHeader(client(1)), []byte("open"))
-	f.router.Confirm(f.now.Add(steering.OpenTimeout))
+	f.router.Confirm(f.now.Add(steering.OpenTimeout), f.now.Add(steering.OpenTimeout))
 	f.checkOne(f.router.Tick(f.now.Add(steering.OpenTimeout)), steering.Reset)
 	f.checkOne(f.router.Packet(f.now.Add(steering.OpenTimeout), openHeader(client(2)), []byte("open")), steering.Forward)
 }
@@ -285,7 +285,7 @@
 
 		for range 2 {
 			f.now = f.now.Add(steering.OpenTimeout)
-			f.router.Confirm(f.now)
+			f.router.Confirm(f.now, f.now)
 			offer = f.checkOne(f.router.Tick(f.now), steering.Forward)
 		}
 
--- a/internal/coordination/steering/pointer_test.go
+++ b/internal/coordination/steering/pointer_test.go
@@ -31,7 +31,7 @@
 	after.router = steering.New(steering.Config{Boot: start, LinkBytesPerSecond: 1e9})
 	after.router.SetTable(table(t, 1, toService("desk")))
 	after.router.Apply(after.now, records, true)
-	after.router.Confirm(after.now)
+	after.router.Confirm(after.now, after.now)
 
 	holders := make(map[flow.Key]flow.Endpoint)
 	pointed := make(map[flow.Key]steering.Action)
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -15,22 +15,31 @@
 	now time.Time, target *route.Route, key flow.Key, e *entry, header flow.Header, packet []byte,
 	excluded ...flow.Endpoint,
 ) {
+	e.denied = append(e.denied, excluded...)
+
+	if r.startSearch(now, key, e, header, packet) {
+		r.continueSearch(now, target, key, e)
+	}
+}
+
+// startSearch keeps the packet, and reports false if too many flows wait for a decision.
+func (r *Router) startSearch(now time.Time, key flow.Key, e *entry, header flow.Header, packet []byte) bool {
 	if e.state != searching && len(r.pendingFlows) >= maxPendingFlows {
 		r.counters.Dropped++
 
-		return
+		return false
 	}
 
 	r.counters.Located++
 
 	e.state, e.lastPacket = searching, now
-	e.denied = append(e.denied, excluded...)
-	e.pending = &pending{tried: slices.Clone(e.denied), searchEnds: now.Add(maxSearchTime)}
+	e.pending = &pending{tried: slices.Clone(e.denied), searchBegan: now}
 	e.addPacket(header, packet)
 
 	r.flows[key] = e
 	r.pendingFlows[key] = e
-	r.continueSearch(now, target, key, e)
+
+	return true
 }
 
 // continueSearch continues with the next stage after all asked agents have answered
@@ -38,7 +47,7 @@
 func (r *Router) continueSearch(now time.Time, target *route.Route, key flow.Key, e *entry) {
 	e.probing = false
 
-	for ; e.stage <= probeRest; e.stage++ {
+	for ; e.stage <= askNew; e.stage++ {
 		if r.runStage(now, target, key, e) {
 			return
 		}
@@ -61,10 +70,94 @@
 	case probeUnsure:
 		return r.probe(now, key, e, maxEarlyProbes)
 	case askOthers:
+		// Early, because the answers to this stage take longer than a confirmation.
+		r.needsConfirmation(now, e)
+
 		return r.ask(now, key, e, slices.Clone(r.allAgents), &r.questions.others)
-	default:
+	case probeRest:
 		// The flow can only be held by an agent that is unsure.
 		return e.incomplete == ReasonNone && r.mayProbeRest(now, e) && r.probe(now, key, e, maxLateProbes)
+	default:
+		return r.awaitConfirmation(now, e) || r.askNew(now, key, e)
+	}
+}
+
+// confirmedDuring reports whether a controller has confirmed document and agents since the
+// search of a flow began. A flow that was open then is held by an agent of that list.
+func (r *Router) confirmedDuring(e *entry) bool { return !r.confirmedSince.Before(e.searchBegan) }
+
+// awaitConfirmation reports whether the search has to wait for a confirmation that the
+// flow is lost, or that its route does not exist.
+func (r *Router) awaitConfirmation(now time.Time, e *entry) bool {
+	if r.whyUncertain(now, e) != ReasonOutdated || !now.Before(e.searchEnds()) || !r.needsConfirmation(now, e) {
+		return false
+	}
+
+	e.deadline = r.pollRequested.Add(confirmRetryInterval)
+
+	return true
+}
+
+// needsConfirmation reports whether a confirmation is missing that the controllers are
+// likely to give. It then asks for a poll, unless one was requested recently: many searches
+// share it.
+func (r *Router) needsConfirmation(now time.Time, e *entry) bool {
+	if r.confirmedDuring(e) || !r.recentlyConfirmed(now) {
+		return false
+	}
+
+	if now.Sub(r.pollRequested) >= confirmRetryInterval {
+		r.pollRequested = now
+		r.counters.Polls++
+		r.addAction(Action{Kind: Poll})
+	}
+
+	return true
+}
+
+// askNew asks the agents that the confirmed list has added since the others were asked.
+func (r *Router) askNew(now time.Time, key flow.Key, e *entry) bool {
+	before := len(e.tried)
+	waits := r.ask(now, key, e, slices.Clone(r.allAgents), &r.questions.candidates)
+	r.counters.AddedLate += uint64(len(e.tried) - before)
+
+	return waits
+}
+
+// continueConfirmed continues the searches that wait for a confirmation.
+func (r *Router) continueConfirmed(now time.Time) {
+	for key, e := range r.pendingFlows {
+		if e.state != searching || !r.confirmedDuring(e) {
+			continue
+		}
+
+		target, ok := r.table.Find(key.Service)
+
+		switch {
+		case !ok:
+			r.searchRoute(now, key, e)
+		case len(e.awaiting) == 0 && !e.probing:
+			r.continueSearch(now, target, key, e)
+		}
+	}
+}
+
+// searchRoute waits until the document is confirmed, and then resets the flow of a packet to
+// an address that still has no route.
+func (r *Router) searchRoute(now time.Time, key flow.Key, e *entry) {
+	if r.awaitConfirmation(now, e) {
+		return
+	}
+
+	sequence, confirmed := e.acknowledged, r.confirmedDuring(e)
+
+	r.removeFlow(key)
+	r.counters.Lost++
+
+	if confirmed {
+		r.reset(key, sequence, ReasonNoRoute)
+	} else {
+		r.addAction(Action{Kind: GiveUp, Key: key, Reason: ReasonOutdated})
 	}
 }
 
@@ -82,7 +175,7 @@
 	}
 
 	if !budget.AllowN(now, batch.cost(agents)) {
-		if batch != &r.questions.others && now.Before(e.searchEnds) {
+		if batch != &r.questions.others && now.Before(e.searchEnds()) {
 			e.deadline = now.Add(budgetRetryInterval)
 
 			return true
@@ -248,7 +341,7 @@
 		return e.incomplete
 	case len(e.unsure) > 0:
 		return ReasonUnsure
-	case !r.recentlyConfirmed(now) || len(r.agents) == 0:
+	case !r.recentlyConfirmed(now) || !r.confirmedDuring(e) || len(r.agents) == 0:
 		return ReasonOutdated
 	default:
 		return ReasonNone
@@ -285,13 +378,15 @@
 		}
 
 		target, ok := r.table.Find(key.Service)
-		if !ok {
-			r.removeFlow(key)
 
-			continue
+		switch {
+		case ok:
+			r.handleTimeout(now, target, key, e)
+		case e.state == searching:
+			r.searchRoute(now, key, e)
+		default:
+			r.removeFlow(key)
 		}
-
-		r.handleTimeout(now, target, key, e)
 	}
 
 	r.placePointers(now)
--- a/internal/coordination/steering/search_test.go
+++ b/internal/coordination/steering/search_test.go
@@ -170,7 +170,7 @@
 	f.router = steering.New(steering.Config{Boot: start, Suspended: func() time.Duration { return suspended }})
 	f.router.SetTable(table(t, 1, toService("desk")))
 	f.router.Apply(f.now, agents(1, roster.Ready), true)
-	f.router.Confirm(f.now)
+	f.router.Confirm(f.now, f.now)
 
 	unrouted := client(1)
 	unrouted.Service.Port++
@@ -334,7 +334,7 @@
 	f.router = steering.New(steering.Config{Boot: start, LinkBytesPerSecond: 2e6 / 8})
 	f.router.SetTable(table(t, 1, toService("desk")))
 	f.router.Apply(f.now, agents(204, roster.Ready), true)
-	f.router.Confirm(start)
+	f.router.Confirm(start, start)
 
 	for number := range flows {
 		f.router.Packet(start.Add(time.Duration(number)*time.Millisecond), requestHeader(client(number), 1), []byte("one"))
@@ -364,7 +364,7 @@
 	f.router = steering.New(steering.Config{Boot: start, LinkBytesPerSecond: link})
 	f.router.SetTable(table(t, 1, toService("desk")))
 	f.router.Apply(f.now, agents(65, roster.Ready), true)
-	f.router.Confirm(start)
+	f.router.Confirm(start, start)
 
 	const seconds, perSecond = 10, 1000
 
@@ -465,7 +465,7 @@
 				f.router.Found(f.now, agent, client(random.IntN(400)))
 			case 7:
 				f.router.Apply(f.now, agents(1+random.IntN(12), roster.State(1+random.IntN(5))), random.IntN(3) == 0)
-				f.router.Confirm(f.now)
+				f.router.Confirm(f.now, f.now)
 			default:
 				f.router.Tick(f.now)
 			}
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -10,7 +10,7 @@
 //	for _, action := range router.Tick(now) { ... }
 //
 // The answers of agents are passed to Accepted, Declined, Returned, Located, Pointed
-// and Found.
+// and Found, those of controllers to SetTable, Apply and Confirm.
 //
 // # New flows
 //
@@ -30,7 +30,9 @@
 // flow, then those that would get it if a part of the agents were replaced. The
 // number of these questions does not depend on the number of agents. All other
 // agents are asked only to prove that a flow is lost: it is reset only if every agent
-// has denied holding it.
+// has denied holding it. The proof takes a list of agents that a controller has confirmed
+// after the packet arrived: another entry instance may have learned of a new agent, and
+// opened the flow there, before this one did.
 //
 // Agents know the flows of their backend servers; an agent that has restarted may be
 // unsure. Its backend server gets the packet if none of the near agents holds the
@@ -82,6 +84,8 @@
 	table          *route.Table
 	pauses         pauses
 	lastConfirmed  time.Time     // last time that a controller confirmed document and agents
+	confirmedSince time.Time     // when the poll was sent that this confirmation answers
+	pollRequested  time.Time     // last request for a confirmation
 	suspended      time.Duration // of the machine, up to lastConfirmed
 	agents         map[flow.Endpoint]*agent
 	services       map[string][]*agent
@@ -214,16 +218,27 @@
 	return regroup
 }
 
-// Confirm records that a controller has just confirmed that document and agents
-// are current. After a pause its answer may be of before.
-func (r *Router) Confirm(now time.Time) {
-	r.pauses.observe(now, r.config.Suspended())
+// Confirm records that a controller has confirmed document and agents in its answer to a
+// poll that was sent at the time polled. After a pause its answer may be of before.
+func (r *Router) Confirm(now, polled time.Time) []Action {
+	r.actions = r.actions[:0]
+	suspended := r.config.Suspended()
+
+	r.pauses.observe(now, suspended)
 
 	if r.pauses.mayBeStale(now) {
-		return
+		return r.actions
+	}
+
+	r.lastConfirmed, r.suspended = now, suspended
+
+	if polled.After(r.confirmedSince) {
+		r.confirmedSince = polled
 	}
 
-	r.lastConfirmed, r.suspended = now, r.config.Suspended()
+	r.continueConfirmed(now)
+
+	return r.actions
 }
 
 // Serving reports whether the router knows a document and an agent that takes
@@ -271,7 +286,7 @@
 
 	target, ok := r.table.Find(key.Service)
 	if !ok {
-		r.refuseUnrouted(now, header)
+		r.refuseUnrouted(now, header, packet)
 
 		return r.actions
 	}
@@ -293,8 +308,9 @@
 }
 
 // refuseUnrouted resets the flow of a packet to an address without a route. If the
-// document is too old the packet is dropped instead: the route may exist.
-func (r *Router) refuseUnrouted(now time.Time, header flow.Header) {
+// document is too old the packet is dropped instead: the route may exist. An open flow that
+// is not in the flow table may be older than this instance's knowledge of its route.
+func (r *Router) refuseUnrouted(now time.Time, header flow.Header, packet []byte) {
 	key := header.Key()
 	if !r.recentlyConfirmed(now) || r.table == nil || header.Reset {
 		r.counters.Dropped++
@@ -302,8 +318,17 @@
 		return
 	}
 
-	r.removeFlow(key)
-	r.reset(key, header.Acknowledged, ReasonNoRoute)
+	e := r.flows[key]
+
+	switch {
+	case header.Opens(), e != nil && e.state != searching:
+		r.removeFlow(key)
+		r.reset(key, header.Acknowledged, ReasonNoRoute)
+	case e != nil:
+		e.addPacket(header, packet)
+	case r.startSearch(now, key, &entry{}, header, packet):
+		r.searchRoute(now, key, r.flows[key])
+	}
 }
 
 // handleKnown decides about a packet of a flow that has an entry.
--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -55,6 +55,10 @@
 	// sourceTimeout is the time of two unanswered polls. After it another controller
 	// becomes the source.
 	sourceTimeout = 2*pollInterval + 100*time.Millisecond
+
+	// rememberedPolls is the number of polls whose replies can confirm something: those of
+	// more than a second at the minimum interval.
+	rememberedPolls = 64
 )
 
 // Events receives the updates of a follower. Its methods are called by one
@@ -66,8 +70,8 @@
 	// records are the complete list.
 	Agents(now time.Time, records []roster.Record, whole bool)
 	// Confirmed is called when a controller that is in contact with its group has
-	// confirmed that document and agents are current.
-	Confirmed(now time.Time)
+	// confirmed that document and agents were current after the time polled.
+	Confirmed(now, polled time.Time)
 }
 
 // Config holds the dependencies of a Follower.
@@ -95,6 +99,7 @@
 	mutex          sync.Mutex
 	controllers    []flow.Endpoint
 	sequence       uint64
+	sent           [rememberedPolls]time.Time // when the last polls were sent, by their sequence
 	version        uint64
 	source         flow.Endpoint
 	sourceReady    bool      // at its last answer the source was in contact with its group and had a complete list
@@ -173,6 +178,7 @@
 	}
 
 	f.sequence++
+	f.sent[f.sequence%rememberedPolls] = now
 
 	poll := wire.Poll{Boot: f.config.BootID, Sequence: f.sequence, Version: f.version}
 	if f.config.Announce != nil {
@@ -340,11 +346,21 @@
 		f.applyAgents(now, reply)
 	}
 
-	if reply.Ready && reply.Version <= f.version && (!f.config.WantsAgents || f.listComplete) {
-		f.config.Events.Confirmed(now)
+	polled, ok := f.pollSentAt(reply.Sequence)
+	if ok && reply.Ready && reply.Version <= f.version && (!f.config.WantsAgents || f.listComplete) {
+		f.config.Events.Confirmed(now, polled)
 	}
 }
 
+// pollSentAt returns when a recent poll was sent.
+func (f *Follower) pollSentAt(sequence uint64) (time.Time, bool) {
+	if sequence == 0 || sequence > f.sequence || f.sequence-sequence >= rememberedPolls {
+		return time.Time{}, false
+	}
+
+	return f.sent[sequence%rememberedPolls], true
+}
+
 // applyAgents applies the list of the source. A controller that has just started
 // may not know all agents yet, so its list is merged with the known agents. The
 // whole list is fetched again once it is complete.
--- a/internal/program/forwarder/forwarder.go
+++ b/internal/program/forwarder/forwarder.go
@@ -315,6 +315,8 @@
 		f.buffer = wire.Pointer{Key: action.Key, Holder: action.Holder}.Append(f.buffer[:0])
 		agent := netip.AddrPortFrom(action.To.Addr(), f.settings.ControlAddress.Port())
 		err = f.control.Send(agent, f.buffer)
+	case steering.Poll:
+		f.follower.Poll()
 	case steering.GiveUp:
 	}
 
@@ -383,9 +385,9 @@
 	e.router.Apply(now, records, complete)
 }
 
-func (e events) Confirmed(now time.Time) {
+func (e events) Confirmed(now, polled time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 
-	e.router.Confirm(now)
+	e.execute(e.router.Confirm(now, polled))
 }
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -430,4 +430,4 @@
 
 func (events) Agents(time.Time, []roster.Record, bool) {}
 
-func (events) Confirmed(time.Time) {}
+func (events) Confirmed(_, _ time.Time) {}
