Announce the planned stop of a controller to the instances that follow it

What callers saw: in a roll of the controllers, balancers learned of new agents up to 0.9 s later than others, so that packets of flows at these agents waited for a search to be confirmed.

Cause: a follower noticed only by two unanswered polls that its controller was gone, although the stop was planned.

Fix: a controller that stops sends its pollers an answer that says it is no longer current, and answers so until it is gone. A follower whose controller becomes so polls at once, and the others answer. Ruled out: a request to poll again, as the controller may be gone before the poll arrives.

Tests: TestAnnouncesStop (registry) and TestSourceStops (follower) failed without the change.

--- a/internal/program/follower/follower.go
+++ b/internal/program/follower/follower.go
@@ -317,7 +317,8 @@
 		f.sourceAnswered = now
 
 		if f.sourceReady && !ready {
-			f.config.Logger.Info("the source lost contact with its group", "controller", controller.String())
+			f.config.Logger.Info("the source stops or lost contact with its group", "controller", controller.String())
+			f.Poll()
 		}
 
 		f.sourceReady = ready
--- a/internal/program/follower/follower_test.go
+++ b/internal/program/follower/follower_test.go
@@ -96,6 +96,15 @@
 	c.is.NoErr(c.conn.Send(c.follower, message))
 }
 
+// sendDocument sends a document, without which instances poll more often.
+func (c *controller) sendDocument() {
+	c.Helper()
+
+	document, err := (&route.Document{Version: 1}).Encode()
+	c.is.NoErr(err)
+	c.is.NoErr(c.conn.Send(c.follower, append([]byte{byte(wire.KindDocument)}, document...)))
+}
+
 // recorder passes on when the polls were sent that were confirmed.
 type recorder struct{ polled chan time.Time }
 
@@ -162,3 +171,34 @@
 	c.reply(next.Sequence, true)
 	is.True((<-polled).After(later))
 }
+
+// TestSourceStops guards against an instance that keeps the list of agents of a controller
+// which has stopped as planned, and learns of new agents a second later than the others.
+func TestSourceStops(t *testing.T) {
+	controllers, _ := newFollower(t, 2)
+	source, other := controllers[0], controllers[1]
+
+	source.sendDocument()
+	source.reply(source.await(false).Sequence, true)
+
+	for range 4 { // the last ones at the regular interval
+		source.reply(source.await(true).Sequence, true)
+	}
+
+	stopped := time.Now()
+	source.send(wire.PollReply{})
+
+	for {
+		poll := other.await(false)
+		if poll.at.After(stopped) {
+			other.reply(poll.Sequence, true)
+		}
+
+		if poll.WantsAgents {
+			// The next regular poll would come 350 to 400 ms after the last one.
+			is.New(t).True(poll.at.Sub(stopped) < 300*time.Millisecond)
+
+			return
+		}
+	}
+}
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -118,6 +118,7 @@
 	checkpoints     *checkpointService
 
 	mutex           sync.Mutex // guards the list of agents and the pollers
+	stopping        bool
 	agents          *roster.List
 	pollers         map[netip.AddrPort]*poller
 	notifiedVersion uint64 // newest version that the pollers were notified of
@@ -192,6 +193,7 @@
 
 	select {
 	case <-ctx.Done():
+		r.announceStop()
 		r.transferLeadership()
 		r.leave()
 	case <-running.Done():
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -161,8 +161,8 @@
 // ready reports whether the document and the list of agents are complete and
 // current.
 func (r *Registry) ready(now time.Time, current *publishedState) bool {
-	return current.hasLeader && now.Sub(current.publishedAt) < maxPublishedAge && now.Sub(r.started) > settleDelay &&
-		now.Sub(r.suspension.lastResume(now)) > resumeDelay
+	return !r.stopping && current.hasLeader && now.Sub(current.publishedAt) < maxPublishedAge &&
+		now.Sub(r.started) > settleDelay && now.Sub(r.suspension.lastResume(now)) > resumeDelay
 }
 
 // suspension notices that the machine was suspended. The Raft node still believes in its
@@ -217,6 +217,11 @@
 
 // notify tells the instances that match the filter to poll now.
 func (r *Registry) notify(now time.Time, filter func(p *poller) bool) {
+	r.sendToPollers(now, []byte{byte(wire.KindPollNow)}, filter)
+}
+
+// sendToPollers sends a message to the instances that match the filter.
+func (r *Registry) sendToPollers(now time.Time, message []byte, filter func(p *poller) bool) {
 	var addresses []netip.AddrPort
 
 	r.mutex.Lock()
@@ -229,12 +234,33 @@
 	r.mutex.Unlock()
 
 	for _, address := range addresses {
-		if err := r.conn.Send(address, []byte{byte(wire.KindPollNow)}); err != nil {
+		if err := r.conn.Send(address, message); err != nil {
 			r.logger.Debug("could not send a notification", "to", address, "error", err)
 		}
 	}
 }
 
+// announceStop tells all instances that this controller is no longer current, so that those
+// that follow it choose another one before it is gone. It is the answer to no poll.
+func (r *Registry) announceStop() {
+	r.mutex.Lock()
+	r.stopping = true
+	r.mutex.Unlock()
+
+	current := r.published.Load()
+
+	message, err := wire.Encode(wire.KindPollReply, wire.PollReply{
+		Version: current.version, Controllers: current.controllers,
+	})
+	if err != nil {
+		r.logger.Error("could not encode the announcement of the stop", "error", err)
+
+		return
+	}
+
+	r.sendToPollers(time.Now(), message, func(*poller) bool { return true })
+}
+
 // notifyFollowers notifies the instances that follow the list of agents of a
 // change.
 func (r *Registry) notifyFollowers(now time.Time) {
--- a/internal/program/registry/serve_test.go
+++ b/internal/program/registry/serve_test.go
@@ -33,3 +33,31 @@
 
 	c.eventually("a poll that wants an answer gets it", func() bool { return poll(wire.Poll{Version: 5}) != nil })
 }
+
+// TestAnnouncesStop guards against instances that follow a controller which has stopped as
+// planned: until they notice, they do not learn of new agents.
+func TestAnnouncesStop(t *testing.T) {
+	c := newCluster(t)
+	c.bootstrap(5)
+	c.submit(1)
+
+	instance := newClient(t, c.address(99).AddrPort())
+	message, err := wire.Encode(wire.KindPoll, wire.Poll{})
+	c.is.NoErr(err)
+
+	isReady := func(answer []byte) bool {
+		reply, err := wire.Decode[wire.PollReply](answer)
+
+		return err == nil && reply.Ready
+	}
+
+	c.eventually("the controller is ready", func() bool {
+		return isReady(instance.request(c.address(1), message, wire.KindPollReply))
+	})
+	c.kill(1)
+
+	// Controller 1 is gone, so that this is what it sent at its stop.
+	answer := instance.request(c.address(1), message, wire.KindPollReply)
+	c.is.True(answer != nil)
+	c.is.True(!isReady(answer))
+}
