Refuse the second write of the identity in TestFullDiskAtJoin

Cause: the test filled the disk once the directory of the new controller was seen. A test that got too little processor time saw it after the controller had joined, so that nothing was refused, and failed with "the identity is refused".

Change: the disk refuses the second write of that file from the start, which is the write that the test means. The bounds and what is expected afterwards stay.

--- a/internal/program/registry/fulldisk_test.go
+++ b/internal/program/registry/fulldisk_test.go
@@ -23,6 +23,7 @@
 	free    int // bytes that can still be written, negative for no limit
 	refused int
 	only    string // base name of the file that the limit applies to, empty for all
+	spared  int    // writes that the limit does not apply to yet
 }
 
 func newLimitedDisk() *limitedDisk { return &limitedDisk{Files: wal.WithoutModes(), free: -1} }
@@ -35,6 +36,16 @@
 	d.free, d.only = free, only
 }
 
+// limitAfter limits the writes of a file after so many of them.
+func (d *limitedDisk) limitAfter(writes, free int, only string) {
+	d.limit(free, only)
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.spared = writes
+}
+
 // refusals returns the number of refused writes.
 func (d *limitedDisk) refusals() int {
 	d.mutex.Lock()
@@ -52,6 +63,12 @@
 		return bytes
 	}
 
+	if d.spared > 0 {
+		d.spared--
+
+		return bytes
+	}
+
 	taken := min(bytes, d.free)
 	d.free -= taken
 
@@ -104,14 +121,9 @@
 
 	// The first write of the identity is that of a new directory.
 	full := newLimitedDisk()
+	full.limitAfter(1, 0, "identity.tmp")
 	c.disks["6"] = full
 	c.start(6, "6", false)
-	c.eventually("the new controller has a directory", func() bool {
-		names, err := full.List(filepath.Join(c.directory, "6", "replica"))
-
-		return err == nil && len(names) >= 3
-	})
-	full.limit(0, "identity.tmp")
 	c.eventually("the identity is refused", func() bool { return full.refusals() > 0 })
 	full.limit(-1, "")
 
