Hand over the leadership again if a controller is elected while it leaves

What callers saw: a controller was replaced as planned, and the leader and one other controller lost their disks 0.2 s before its SIGTERM.

Cause: a controller that stops waits for its removal, but ended the wait at once when it led. That was meant for a leader that could not hand over; it also held for one that was elected after its attempt to hand over. It exited as a voter: three of six were gone.

Ruled out: a removal that is not carried out (it is, when another controller is elected).

Fix: such a controller hands over to a voter that does not stop as well, and leaves only when the leader answers. By its own view it may not know all voters. Why it works: while it runs it votes, and a leader removes it.

--- a/internal/program/registry/leave.go
+++ b/internal/program/registry/leave.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -21,6 +22,15 @@
 	return ok && now.Sub(at) <= replaceDelay
 }
 
+// keepLeaving returns the members that are still announcing their stop, after this replica
+// became the leader or no longer is. The others have stopped, and may have started again.
+func (m *membershipState) keepLeaving(now time.Time) map[wal.ReplicaID]time.Time {
+	leaving := maps.Clone(m.leavingAt)
+	maps.DeleteFunc(leaving, func(_ wal.ReplicaID, at time.Time) bool { return now.Sub(at) > 4*leaveInterval })
+
+	return leaving
+}
+
 // leave tells the group that this replica stops, and closes done once the group can do
 // without it.
 func (o *owner) leave(done chan struct{}) {
@@ -28,22 +38,35 @@
 	o.requestLeave(time.Now())
 }
 
-// requestLeave repeats that this replica stops until the leader has answered. If the group
-// cannot spare it, the replica remains a member and stops at once.
+// requestLeave repeats that this replica stops until the leader has answered. Only the
+// leader tells whether the group can spare it: this replica may not know of all members
+// yet. If it is elected meanwhile, it hands the leadership over first, because it would
+// count towards the majority after it is gone.
 func (o *owner) requestLeave(now time.Time) {
 	if o.leaveDone == nil || now.Sub(o.lastLeave) < leaveInterval {
 		return
 	}
 
-	if o.node == nil || o.log == nil || o.node.Status().Role == raft.Leader {
+	o.lastLeave = now
+
+	if o.node == nil {
 		o.finishLeave()
 
 		return
 	}
 
-	o.lastLeave = now
+	status := o.node.Status()
+	if status.Role == raft.Leader {
+		if countVoters(status.Members) == 1 {
+			o.finishLeave()
+		} else {
+			o.handOver(now)
+		}
 
-	message, err := wire.Encode(wire.KindLeave, wire.Leave{Replica: uint64(o.log.Identity().Replica)})
+		return
+	}
+
+	message, err := wire.Encode(wire.KindLeave, wire.Leave{Replica: uint64(status.Replica)})
 	if err != nil {
 		o.logger.Error("could not encode a leave request", "error", err)
 		o.finishLeave()
@@ -52,10 +75,37 @@
 	}
 
 	o.sendToControllers(message)
+}
 
-	if countVoters(o.node.Status().Members) <= o.minVoters() {
-		o.finishLeave()
+// handOver transfers the leadership to the responsive voter with the most complete log that
+// does not stop as well. It reports whether a transfer is in progress.
+func (o *owner) handOver(now time.Time) bool {
+	status := o.node.Status()
+	if status.TransferTarget != 0 {
+		return true
 	}
+
+	successor := raft.MemberStatus{}
+
+	for _, member := range status.Members {
+		if member.ID == status.Replica || member.Learner || !member.Responsive || o.membership.isLeaving(now, member.ID) {
+			continue
+		}
+
+		if successor.ID == 0 || member.Match > successor.Match {
+			successor = member
+		}
+	}
+
+	if err := o.node.TransferLeadership(successor.ID); err != nil {
+		o.logger.Info("cannot hand over the leadership yet", "error", err)
+
+		return false
+	}
+
+	o.logger.Info("hands over the leadership", "successor", successor.ID.String(), "leaves", o.leaveDone != nil)
+
+	return true
 }
 
 // handleLeave answers a replica that stops if this one leads and the other has been
@@ -67,23 +117,24 @@
 	}
 
 	status := o.node.Status()
-	if !status.CanServe {
-		return nil
-	}
-
 	id, voters := wal.ReplicaID(request.Replica), countVoters(status.Members)
+	isMember := slices.ContainsFunc(status.Members, func(m raft.MemberStatus) bool { return m.ID == id })
 
-	if slices.ContainsFunc(status.Members, func(m raft.MemberStatus) bool { return m.ID == id }) {
+	if isMember {
 		if !o.membership.isLeaving(now, id) {
 			o.logger.Info("a member announced that it stops", "replica", id.String(), "address", from, "voters", voters)
 		}
 
+		// Recorded by followers too: one that is elected hands over to none that stops.
 		o.membership.leavingAt[id] = now
+	}
 
-		if voters > o.minVoters() {
-			return nil // it is removed first
-		}
-	} else if o.appliedIndex < o.membership.lastChange {
+	switch {
+	case !status.CanServe:
+		return nil
+	case isMember && voters > o.minVoters():
+		return nil // it is removed first
+	case !isMember && o.appliedIndex < o.membership.lastChange:
 		return nil // the removal is not committed
 	}
 
--- a/internal/program/registry/members.go
+++ b/internal/program/registry/members.go
@@ -36,10 +36,8 @@
 	leavingAt   map[wal.ReplicaID]time.Time // when a member has last said that it stops
 }
 
-func newMembershipState() membershipState {
-	return membershipState{
-		silentSince: make(map[wal.ReplicaID]time.Time), leavingAt: make(map[wal.ReplicaID]time.Time),
-	}
+func newMembershipState(leavingAt map[wal.ReplicaID]time.Time) membershipState {
+	return membershipState{silentSince: make(map[wal.ReplicaID]time.Time), leavingAt: leavingAt}
 }
 
 // minVoters is the number of voters that still leaves a majority after the
@@ -65,7 +63,7 @@
 
 	if leading := status.Role == raft.Leader; leading != o.leading {
 		o.leading = leading
-		o.membership = newMembershipState()
+		o.membership = newMembershipState(o.membership.keepLeaving(now))
 		o.logger.Info("leadership changed", "leads", leading, "term", status.Term, "leader", status.Leader.String())
 	}
 
@@ -341,8 +339,8 @@
 // transferLeadership transfers the leadership, and closes done once another
 // replica leads.
 func (o *owner) transferLeadership(done chan struct{}) {
-	if o.node == nil || o.node.TransferLeadership(0) != nil {
-		close(done) // there is no leadership to transfer
+	if o.node == nil || o.node.Status().Role != raft.Leader || !o.handOver(time.Now()) {
+		close(done) // there is no leadership to transfer, or nobody to take it yet
 
 		return
 	}
--- a/internal/program/registry/owner.go
+++ b/internal/program/registry/owner.go
@@ -76,7 +76,7 @@
 		Registry: r, state: &catalog.Catalog{},
 		addresses: make(map[wal.ReplicaID]netip.AddrPort),
 		proposals: make(map[uint64]*proposal), reads: make(map[uint64]chan<- outcome),
-		membership: newMembershipState(), lastLeaderSeen: time.Now(),
+		membership: newMembershipState(make(map[wal.ReplicaID]time.Time)), lastLeaderSeen: time.Now(),
 	}
 }
 
--- a/internal/program/registry/registry.go
+++ b/internal/program/registry/registry.go
@@ -22,6 +22,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -97,6 +98,15 @@
 	Bootstrap bool
 	// MaxLostDisks is the number of disks that may be lost at once.
 	MaxLostDisks int
+	// StopTime is how long the process may take to stop before it is killed; 0 for
+	// defaultStopTime.
+	StopTime time.Duration
+}
+
+// leaveTimeout returns how long a controller that stops waits until the group no longer
+// needs it.
+func (s Settings) leaveTimeout() time.Duration {
+	return max(minLeaveTimeout, cmp.Or(s.StopTime, defaultStopTime)-transferTimeout-stopReserve)
 }
 
 // Interpret decodes a document in the format of its source.
@@ -245,11 +255,19 @@
 	r.awaitOwner(transferTimeout, (*owner).transferLeadership)
 }
 
-// leaveTimeout is how long a controller that stops waits until the group no longer
-// needs it: an election, if the leader is lost at the same time, and a few round trips.
-const leaveTimeout = 1500 * time.Millisecond
+const (
+	// minLeaveTimeout covers an election, if the leader is lost at the same time, and a few
+	// round trips.
+	minLeaveTimeout = 1500 * time.Millisecond
+
+	// defaultStopTime is below what supervisors of processes usually grant.
+	defaultStopTime = 6 * time.Second
+
+	// stopReserve is kept of the time to stop, to answer the last calls and close the disk.
+	stopReserve = time.Second
+)
 
-func (r *Registry) leave() { r.awaitOwner(leaveTimeout, (*owner).leave) }
+func (r *Registry) leave() { r.awaitOwner(r.settings.leaveTimeout(), (*owner).leave) }
 
 // awaitOwner lets the owner begin something that takes a while, and waits until it closes
 // done.
