--- a/internal/program/registry/operate.go
+++ b/internal/program/registry/operate.go
@@ -105,6 +105,11 @@
 	return answer.version, nil
 }
 
+// Refuse logs that a document was refused before it could be submitted.
+func (r *Registry) Refuse(cause error) {
+	r.logger.Info("refused a document", "error", cause)
+}
+
 // Newest returns the newest document as its operator sent it, or version 0 if
 // there is none. The answer is confirmed by a majority.
 func (r *Registry) Newest(ctx context.Context) (uint64, []byte, error) {
