Let a controller without a disk join by what members tell it

What callers saw: one seed was replaced, the two others lost their disks and never joined again.

Cause: a controller without a group asked only its seeds and what they named, here a machine that was gone and each other. It dropped the heartbeats for the replica that was lost at its address together with the address of their sender.

Ruled out: a leader that refuses them (no request reached it), members without their addresses.

Fix: such a controller asks whoever sends it messages of a group. Why it works: one of the two always reaches a controller that starts where a member was. sendToControllers no longer appends to the caller's slice of seeds, which the race detector reported in the new test.

Tests: each part of TestRejoinsWithoutSeeds failed without its half of the fix.

--- a/internal/program/registry/leave_test.go
+++ b/internal/program/registry/leave_test.go
@@ -110,3 +110,43 @@
 	c.submit(10)
 	c.expectDocument(10)
 }
+
+// TestRejoinsWithoutSeeds guards against controllers that have lost their disks and never join
+// the group again, because none of the controllers that they were told of can help them.
+func TestRejoinsWithoutSeeds(t *testing.T) {
+	t.Parallel()
+
+	restart := func(c *cluster, numbers ...int) {
+		for _, number := range numbers {
+			c.kill(number)
+		}
+
+		for _, number := range numbers {
+			c.start(number, fmt.Sprintf("%d-empty", number), false)
+		}
+	}
+
+	t.Run("still members", func(t *testing.T) {
+		t.Parallel()
+
+		c := newClusterWithSpare(t)
+		c.kill(1)
+		c.expectVoters(5)
+		restart(c, 2, 3) // the seeds are 1, 2 and 3
+		c.expectMembers(2, 3, 4, 5, 6)
+		c.expectVoters(5)
+
+		restart(c, 4, 5)
+		c.expectDocument(1)
+	})
+
+	t.Run("removed before the start", func(t *testing.T) {
+		t.Parallel()
+
+		c := newClusterWithSpare(t)
+		c.seeds = c.seeds[:1]
+		restart(c, 1)
+		c.expectMembers(1, 2, 3, 4, 5, 6)
+		c.expectDocument(1)
+	})
+}
--- a/internal/program/registry/members.go
+++ b/internal/program/registry/members.go
@@ -181,6 +181,8 @@
 		return
 	}
 
+	current := make(map[netip.AddrPort]bool)
+
 	for _, member := range o.node.Status().Members {
 		address, err := netip.ParseAddrPort(member.Address)
 		if err != nil {
@@ -190,7 +192,10 @@
 		}
 
 		o.addresses[member.ID] = address
+		current[address] = true
 	}
+
+	o.former.update(time.Now(), current)
 }
 
 // receive handles a message of another controller.
@@ -222,6 +227,8 @@
 	}
 
 	if o.node == nil {
+		o.addController(from)
+
 		return nil
 	}
 
@@ -258,7 +265,7 @@
 
 // sendToControllers sends a message to all controllers that this one knows.
 func (o *owner) sendToControllers(message []byte) {
-	for _, controller := range append(o.settings.Seeds(), o.published.Load().controllers...) {
+	for _, controller := range slices.Concat(o.settings.Seeds(), o.published.Load().controllers) {
 		if controller == o.self {
 			continue
 		}
--- a/internal/program/registry/owner.go
+++ b/internal/program/registry/owner.go
@@ -63,6 +63,7 @@
 	reads           map[uint64]chan<- outcome
 	lastReadID      uint64
 	membership      membershipState
+	former          formerMembers
 	transferDone    chan struct{}
 	leaveDone       chan struct{} // not nil while the replica is leaving the group
 	lastLeave       time.Time     // last message that it is leaving
@@ -77,6 +78,7 @@
 		addresses: make(map[wal.ReplicaID]netip.AddrPort),
 		proposals: make(map[uint64]*proposal), reads: make(map[uint64]chan<- outcome),
 		membership: newMembershipState(make(map[wal.ReplicaID]time.Time)), lastLeaderSeen: time.Now(),
+		former: newFormerMembers(),
 	}
 }
 
@@ -131,6 +133,7 @@
 	}
 
 	o.requestJoin(now)
+	o.remindFormer(now)
 	o.requestLeave(now)
 	o.finishTransfer()
 	o.expireProposals(now)
--- a/internal/program/registry/registry_test.go
+++ b/internal/program/registry/registry_test.go
@@ -108,9 +108,11 @@
 		c.disks[disk] = newLimitedDisk()
 	}
 
+	seeds := c.seeds
+
 	built, err := registry.New(registry.Settings{
 		Files: c.disks[disk], ControlAddress: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
-		Seeds: func() []flow.Endpoint { return c.seeds }, Bootstrap: first, MaxLostDisks: 2,
+		Seeds: func() []flow.Endpoint { return seeds }, Bootstrap: first, MaxLostDisks: 2,
 		StopTime: 3 * time.Second, // the tests stop controllers that nobody answers any more
 	}, interpret, slog.New(slog.DiscardHandler))
 	c.is.NoErr(err)
