Send the stop of a controller to entry instances only, and print logs of failed registry tests

A test of package registry failed once and told nothing about why: the controllers of these tests logged nowhere.

Change: announceStop goes to instances that want the list of agents. The memory of members that stop has a name and a reason, and a line that may come every 50 ms is a debug line.

Ruled out: telling agents too. They get documents from every controller and do not use the list.

--- a/internal/program/registry/leave.go
+++ b/internal/program/registry/leave.go
@@ -11,8 +11,14 @@
 	"jayspindle/internal/state/wal"
 )
 
-// leaveInterval is how often a replica that stops repeats that it does.
-const leaveInterval = 50 * time.Millisecond
+const (
+	// leaveInterval is how often a replica that stops repeats that it does.
+	leaveInterval = 50 * time.Millisecond
+
+	// leaveMemory is how long after its last message a replica counts as stopping when the
+	// leadership changes: three of them may be lost.
+	leaveMemory = 4 * leaveInterval
+)
 
 // isLeaving reports whether a member has announced that it stops. Later its silence
 // tells whether it has started again.
@@ -26,7 +32,7 @@
 // became the leader or no longer is. The others have stopped, and may have started again.
 func (m *membershipState) keepLeaving(now time.Time) map[wal.ReplicaID]time.Time {
 	leaving := maps.Clone(m.leavingAt)
-	maps.DeleteFunc(leaving, func(_ wal.ReplicaID, at time.Time) bool { return now.Sub(at) > 4*leaveInterval })
+	maps.DeleteFunc(leaving, func(_ wal.ReplicaID, at time.Time) bool { return now.Sub(at) > leaveMemory })
 
 	return leaving
 }
@@ -98,7 +104,7 @@
 	}
 
 	if err := o.node.TransferLeadership(successor.ID); err != nil {
-		o.logger.Info("cannot hand over the leadership yet", "error", err)
+		o.logger.Debug("cannot hand over the leadership yet", "error", err)
 
 		return false
 	}
--- a/internal/program/registry/registry_test.go
+++ b/internal/program/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,29 @@
 	mutex   sync.Mutex
 	running map[int]*process
 	disks   map[string]*limitedDisk // by data directory
+	logs    *logs                   // of all controllers
+}
+
+// logs collects log lines, which are printed if the test fails.
+type logs struct {
+	mutex   sync.Mutex
+	written bytes.Buffer
+}
+
+// Write adds a line.
+func (l *logs) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.written.Write(line)
+}
+
+// String returns all lines.
+func (l *logs) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.written.String()
 }
 
 type process struct {
@@ -74,7 +98,7 @@
 	subnet := 40 + lastSubnet.Add(1)
 	c := &cluster{
 		T: t, is: is.New(t), directory: t.TempDir(), subnet: subnet, port: reservePort(t, subnet),
-		running: make(map[int]*process), disks: make(map[string]*limitedDisk),
+		running: make(map[int]*process), disks: make(map[string]*limitedDisk), logs: &logs{},
 	}
 
 	for number := range 3 {
@@ -82,6 +106,10 @@
 	}
 
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(c.logs.String())
+		}
+
 		for number := range c.running {
 			c.kill(number)
 		}
@@ -114,7 +142,7 @@
 		Files: c.disks[disk], ControlAddress: c.address(number).AddrPort(), Directory: filepath.Join(c.directory, disk),
 		Seeds: func() []flow.Endpoint { return seeds }, Bootstrap: first, MaxLostDisks: 2,
 		StopTime: 3 * time.Second, // the tests stop controllers that nobody answers any more
-	}, interpret, slog.New(slog.DiscardHandler))
+	}, interpret, slog.New(slog.NewTextHandler(c.logs, nil)).With("number", number))
 	c.is.NoErr(err)
 
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/program/registry/serve.go
+++ b/internal/program/registry/serve.go
@@ -240,8 +240,9 @@
 	}
 }
 
-// announceStop tells all instances that this controller is no longer current, so that those
-// that follow it choose another one before it is gone. It is the answer to no poll.
+// announceStop tells the instances that follow the list of agents that this controller is no
+// longer current, so that they choose another one before it is gone. It is the answer to no
+// poll. The others notice in time for what they need.
 func (r *Registry) announceStop() {
 	r.mutex.Lock()
 	r.stopping = true
@@ -258,7 +259,7 @@
 		return
 	}
 
-	r.sendToPollers(time.Now(), message, func(*poller) bool { return true })
+	r.sendToPollers(time.Now(), message, func(p *poller) bool { return p.wantsAgents })
 }
 
 // notifyFollowers notifies the instances that follow the list of agents of a
--- a/internal/program/registry/serve_test.go
+++ b/internal/program/registry/serve_test.go
@@ -42,7 +42,7 @@
 	c.submit(1)
 
 	instance := newClient(t, c.address(99).AddrPort())
-	message, err := wire.Encode(wire.KindPoll, wire.Poll{})
+	message, err := wire.Encode(wire.KindPoll, wire.Poll{WantsAgents: true})
 	c.is.NoErr(err)
 
 	isReady := func(answer []byte) bool {
