Wait for the answers of controllers in two tests of the registry

Cause: TestPredecessor took a poll that was not answered within 50 ms for an error, and TestAnnouncesStop looked once for a message within 50 ms. Neither time is a target.

Change: both repeat the poll until it is answered, within the time that the tests give other conditions. What the answers must say is unchanged.

--- a/internal/program/registry/predecessor_test.go
+++ b/internal/program/registry/predecessor_test.go
@@ -20,14 +20,22 @@
 	sequence := uint64(0)
 
 	poll := func(number int, boot uint64) roster.Predecessor {
-		sequence++
+		var answer []byte
 
-		message, err := wire.Encode(wire.KindPoll, wire.Poll{
-			Boot: boot, Sequence: sequence, Agent: &roster.Record{Address: c.address(99), State: roster.Ready},
+		c.eventually("a poll is answered", func() bool {
+			sequence++
+
+			message, err := wire.Encode(wire.KindPoll, wire.Poll{
+				Boot: boot, Sequence: sequence, Agent: &roster.Record{Address: c.address(99), State: roster.Ready},
+			})
+			c.is.NoErr(err)
+
+			answer = instance.request(c.address(number), message, wire.KindPollReply)
+
+			return answer != nil
 		})
-		c.is.NoErr(err)
 
-		reply, err := wire.Decode[wire.PollReply](instance.request(c.address(number), message, wire.KindPollReply))
+		reply, err := wire.Decode[wire.PollReply](answer)
 		c.is.NoErr(err)
 
 		return *reply.Predecessor
--- a/internal/program/registry/serve_test.go
+++ b/internal/program/registry/serve_test.go
@@ -57,7 +57,12 @@
 	c.kill(1)
 
 	// Controller 1 is gone, so that this is what it sent at its stop.
-	answer := instance.request(c.address(1), message, wire.KindPollReply)
-	c.is.True(answer != nil)
-	c.is.True(!isReady(answer))
+	var last []byte
+
+	c.eventually("the stop was announced", func() bool {
+		last = instance.request(c.address(1), message, wire.KindPollReply)
+
+		return last != nil
+	})
+	c.is.True(!isReady(last))
 }
